Set down the shape: core types, registries, reducer and its handlers

Cause: an empty repository needs the shape that everything grows in. Change: the workspace of five packages; in geraniumhall-core the Registry, Reducer and Performers types, frozen events and effects, the daemon's state, and handlers for admission, attempts, claims, catalogue, admin and lifecycle; an in-memory model of the platform in the same shape.

--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/admin.py
@@ -0,0 +1,138 @@
+"""Commands and answers of the admin interface, apart from their encoding."""
+
+from typing import Any
+
+import attrs
+
+from geraniumhall_core.platform import Answer
+from geraniumhall_core.records import ObjectKey
+
+
+@attrs.frozen
+class AdminCommand:
+    """An operator's call."""
+
+
+@attrs.frozen
+class ReadRecord(AdminCommand):
+    """Read one catalogue record from the platform."""
+
+    key: ObjectKey
+
+
+@attrs.frozen
+class ListRecords(AdminCommand):
+    """Read all catalogue records of one kind from the platform."""
+
+    kind: str
+
+
+@attrs.frozen
+class WriteRecord(AdminCommand):
+    """Write a catalogue record if its version is `if_version`."""
+
+    key: ObjectKey
+    record: Any
+    if_version: int
+
+
+@attrs.frozen
+class DeleteRecord(AdminCommand):
+    """Delete a catalogue record if its version is `if_version`."""
+
+    key: ObjectKey
+    if_version: int
+
+
+@attrs.frozen
+class ReadHosts(AdminCommand):
+    """Read the platform's list of hosts."""
+
+
+@attrs.frozen
+class ReadStatus(AdminCommand):
+    """Read a summary of this daemon."""
+
+
+@attrs.frozen
+class ReadServers(AdminCommand):
+    """Read what this daemon knows of backend servers."""
+
+
+@attrs.frozen
+class ReadDump(AdminCommand):
+    """Read the whole state of this daemon, without secrets."""
+
+
+@attrs.frozen
+class StartDrain(AdminCommand):
+    """Begin a planned stop of this daemon."""
+
+
+@attrs.frozen
+class AdminAnswer:
+    """What an operator's call came to."""
+
+
+@attrs.frozen
+class PlatformResult(AdminAnswer):
+    """The platform's answer to the call."""
+
+    answer: Answer
+
+
+@attrs.frozen
+class InvalidRecord(AdminAnswer):
+    """The record was not accepted; `path` names the field at fault."""
+
+    path: str
+    reason: str
+
+
+@attrs.frozen
+class DrainStarted(AdminAnswer):
+    """The daemon is draining."""
+
+
+@attrs.frozen
+class StateDump(AdminAnswer):
+    """The whole state; codecs leave out fields marked as secret."""
+
+    state: Any
+
+
+@attrs.frozen(kw_only=True)
+class Status(AdminAnswer):
+    """A summary of one daemon; ages are in seconds, None if never."""
+
+    host: str
+    failure_domain: str
+    incarnation: str
+    ready: bool
+    draining: bool
+    catalogue_revision: int
+    catalogue_age: float | None
+    running: int
+    waiting: int
+    counters: dict[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class ServerStatus:
+    """A backend server as this daemon sees it."""
+
+    name: str
+    address: str
+    failure_domain: str
+    entries: tuple[str, ...]
+    leaving: bool
+    usable: bool
+    outstanding: int
+    failures: int
+
+
+@attrs.frozen
+class ServerStatuses(AdminAnswer):
+    """All backend servers of the catalogue."""
+
+    servers: tuple[ServerStatus, ...]
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -0,0 +1,113 @@
+"""Effects of the daemon, as data."""
+
+import attrs
+
+from geraniumhall_core.admin import AdminAnswer
+from geraniumhall_core.platform import Message
+from geraniumhall_core.purposes import Purpose
+from geraniumhall_core.reducer import Effect
+from geraniumhall_core.refusals import Refusal
+
+
+@attrs.frozen(kw_only=True)
+class RefuseRequest(Effect):
+    """Answer a request with a refusal."""
+
+    request_id: str
+    refusal: Refusal
+
+
+@attrs.frozen(kw_only=True)
+class RelayRequest(Effect):
+    """Send a request to a backend server and pass its answer on.
+
+    `timeout` is in seconds. Without `reuse` the request goes over a new
+    connection, so that a failure to connect proves that it did not run.
+    """
+
+    request_id: str
+    attempt_id: str
+    server: str
+    address: str
+    timeout: float
+    reuse: bool
+
+
+@attrs.frozen(kw_only=True)
+class AbortResponse(Effect):
+    """End an answer that was begun in a way that shows it is not whole."""
+
+    request_id: str
+    refusal: Refusal
+
+
+@attrs.frozen(kw_only=True)
+class CloseExchange(Effect):
+    """The request ended; nothing more is sent for it."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class CallPlatform(Effect):
+    """Call the platform after `delay` seconds."""
+
+    purpose: Purpose
+    message: Message
+    delay: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class AnswerAdmin(Effect):
+    """Answer an operator's call."""
+
+    call_id: int
+    answer: AdminAnswer
+
+
+@attrs.frozen(kw_only=True)
+class StopListening(Effect):
+    """Accept no more connections and close the idle ones."""
+
+
+@attrs.frozen(kw_only=True)
+class EndProcess(Effect):
+    """Nothing is left to do; the process ends."""
+
+
+@attrs.frozen
+class LogField:
+    """One field of a log line."""
+
+    name: str
+    value: str | int | float
+
+
+@attrs.frozen(kw_only=True)
+class WriteLog(Effect):
+    """Write one structured log line."""
+
+    level: str
+    event: str
+    fields: tuple[LogField, ...] = ()
+
+
+@attrs.frozen
+class Metric:
+    """One metric; a counter's value is its increase since the last report."""
+
+    name: str
+    value: float
+
+
+@attrs.frozen(kw_only=True)
+class EmitMetrics(Effect):
+    """Send counters and gauges to the metrics daemon."""
+
+    counters: tuple[Metric, ...]
+    gauges: tuple[Metric, ...]
+
+
+@attrs.frozen(kw_only=True)
+class WriteDump(Effect):
+    """Write the state to the log."""
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -0,0 +1,96 @@
+"""Events of the daemon.
+
+Times `at` are seconds of a clock that counts suspension (CLOCK_BOOTTIME).
+Draws are uniform in [0, 1) and come from the runtime.
+"""
+
+import attrs
+
+from geraniumhall_core.admin import AdminCommand
+from geraniumhall_core.platform import Answer
+from geraniumhall_core.purposes import Purpose
+from geraniumhall_core.reducer import Event
+from geraniumhall_core.requests import AttemptOutcome, CallerRequest
+from geraniumhall_core.verdict import Verdict
+
+
+@attrs.frozen(kw_only=True)
+class DaemonStarted(Event):
+    """The process is about to listen."""
+
+
+@attrs.frozen(kw_only=True)
+class RequestArrived(Event):
+    """A whole request arrived at a front end."""
+
+    request: CallerRequest
+    draws: tuple[float, float]
+
+
+@attrs.frozen(kw_only=True)
+class CallerLeft(Event):
+    """The caller closed the connection before an attempt was under way."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ResponseStarted(Event):
+    """The head of an answer was passed on; the request can't move any more."""
+
+    request_id: str
+    attempt_id: str
+
+
+@attrs.frozen(kw_only=True)
+class AttemptEnded(Event):
+    """An attempt on a backend server ended.
+
+    `wall_time` is in seconds since the epoch. The token counts are those that
+    the backend server reported, or what was passed on if it reported none.
+    """
+
+    request_id: str
+    attempt_id: str
+    outcome: AttemptOutcome
+    verdict: Verdict
+    wall_time: float
+    draws: tuple[float, float]
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
+    reason: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class PlatformAnswered(Event):
+    """The platform answered a call that was made at `asked_at`."""
+
+    asked_at: float
+    purpose: Purpose
+    answer: Answer
+    draws: tuple[float, float]
+
+
+@attrs.frozen(kw_only=True)
+class AdminCalled(Event):
+    """An operator called the admin API."""
+
+    call_id: int
+    command: AdminCommand
+
+
+@attrs.frozen(kw_only=True)
+class DrainRequested(Event):
+    """A planned stop was asked for, by signal or by an operator."""
+
+
+@attrs.frozen(kw_only=True)
+class DumpRequested(Event):
+    """A state dump was asked for by signal."""
+
+
+@attrs.frozen(kw_only=True)
+class Ticked(Event):
+    """Time passed."""
+
+    draws: tuple[float, float]
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/fairness.py
@@ -0,0 +1,63 @@
+"""Fair queueing between the workspaces that wait for one entry.
+
+The workspace with the least service, divided by its weight, goes next.
+Service is counted in priced tokens. A workspace that was idle starts at the
+level of the least served waiting one, so that idling earns no credit
+(start-time fair queueing, Goyal, Vin and Cheng, 1996).
+"""
+
+from collections import deque
+
+import attrs
+
+
+@attrs.define
+class EntryQueue:
+    """Running and waiting requests of one entry on one host."""
+
+    running: int = 0
+    waiting: dict[str, deque[str]] = attrs.field(factory=dict)
+    service: dict[str, float] = attrs.field(factory=dict)
+    virtual_time: float = 0.0
+
+    @property
+    def waiting_count(self) -> int:
+        """The number of waiting requests."""
+        return sum(len(queue) for queue in self.waiting.values())
+
+    def add_waiting(self, workspace: str, request_id: str) -> None:
+        """Append a request to its workspace's queue."""
+        if workspace not in self.waiting:
+            self.waiting[workspace] = deque()
+            self._raise_to_virtual_time(workspace)
+        self.waiting[workspace].append(request_id)
+
+    def take_next(self) -> str | None:
+        """Remove and return the next request of the least served workspace."""
+        if not self.waiting:
+            return None
+        workspace = min(self.waiting, key=lambda name: (self.service[name], name))
+        self.virtual_time = self.service[workspace]
+        request_id = self.waiting[workspace].popleft()
+        self._drop_if_empty(workspace)
+        return request_id
+
+    def remove_waiting(self, workspace: str, request_id: str) -> None:
+        """Remove a request that gave up waiting."""
+        queue = self.waiting.get(workspace)
+        if queue and request_id in queue:
+            queue.remove(request_id)
+            self._drop_if_empty(workspace)
+
+    def charge(self, workspace: str, cost: float, weight: float) -> None:
+        """Add `cost` priced tokens to the service a workspace got."""
+        self._raise_to_virtual_time(workspace)
+        self.service[workspace] += cost / weight
+
+    def _raise_to_virtual_time(self, workspace: str) -> None:
+        known = self.service.get(workspace, 0.0)
+        self.service[workspace] = max(known, self.virtual_time)
+
+    def _drop_if_empty(self, workspace: str) -> None:
+        if not self.waiting[workspace]:
+            del self.waiting[workspace]
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/__init__.py
@@ -0,0 +1,26 @@
+"""Handlers of the daemon's reducer, one module for each concern.
+
+Importing `REDUCER` from here gives the reducer with every handler registered.
+"""
+
+from geraniumhall_core.handlers import (
+    admin,
+    admission,
+    attempts,
+    catalogue,
+    claim_answers,
+    lifecycle,
+    platform,
+)
+from geraniumhall_core.handlers.reducer import REDUCER
+
+__all__ = [
+    "REDUCER",
+    "admin",
+    "admission",
+    "attempts",
+    "catalogue",
+    "claim_answers",
+    "lifecycle",
+    "platform",
+]
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -0,0 +1,80 @@
+"""Time, metrics, dumps and the planned stop of the process."""
+
+from collections.abc import Iterator
+
+from geraniumhall_core.effects import (
+    EmitMetrics,
+    EndProcess,
+    LogField,
+    Metric,
+    StopListening,
+    WriteDump,
+    WriteLog,
+)
+from geraniumhall_core.events import DrainRequested, DumpRequested, Ticked
+from geraniumhall_core.handlers.attempts import expire_waiting
+from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.reducer import Effect
+from geraniumhall_core.state import DaemonState
+
+
+@REDUCER.handles(Ticked)
+def advance_time(state: DaemonState, event: Ticked) -> Iterator[Effect]:
+    """Expire waiting requests, report metrics and go on with a planned stop."""
+    yield from expire_waiting(state, event.at)
+    yield from _report_metrics(state, event.at)
+    yield from _advance_drain(state, event.at)
+
+
+@REDUCER.handles(DrainRequested)
+def request_drain(state: DaemonState, event: DrainRequested) -> Iterator[Effect]:
+    """Begin a planned stop; a second request changes nothing."""
+    yield from begin_drain(state, event.at)
+
+
+@REDUCER.handles(DumpRequested)
+def request_dump(state: DaemonState, event: DumpRequested) -> Iterator[Effect]:
+    """Write the state to the log."""
+    yield WriteDump()
+
+
+def begin_drain(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Turn readiness off; the balancer has `drain_grace` seconds to notice."""
+    if state.is_draining:
+        return
+    state.drain.requested_at = now
+    running = LogField("requests", len(state.requests))
+    yield WriteLog(level="info", event="drain_started", fields=(running,))
+
+
+def _advance_drain(state: DaemonState, now: float) -> Iterator[Effect]:
+    drain = state.drain
+    if drain.requested_at is None or drain.ended:
+        return
+    if now - drain.requested_at < state.policy.drain_grace:
+        return
+    if not drain.stopped_listening:
+        drain.stopped_listening = True
+        yield StopListening()
+    if not state.requests:
+        drain.ended = True
+        yield WriteLog(level="info", event="drain_finished")
+        yield EndProcess()
+
+
+def _report_metrics(state: DaemonState, now: float) -> Iterator[Effect]:
+    metrics = state.metrics
+    if now - metrics.reported_at < state.policy.metrics_interval:
+        return
+    metrics.reported_at = now
+    increases = state.counters - metrics.reported
+    metrics.reported = state.counters.copy()
+    waiting = sum(queue.waiting_count for queue in state.queues.values())
+    yield EmitMetrics(
+        counters=tuple(Metric(k, v) for k, v in sorted(increases.items())),
+        gauges=(
+            Metric("requests.open", len(state.requests)),
+            Metric("requests.waiting", waiting),
+            Metric("catalogue.revision", state.catalogue.revision),
+        ),
+    )
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/keys.py
@@ -0,0 +1,65 @@
+"""Caller keys: the caller holds the key, the catalogue only a salted hash.
+
+A key reads ``gh_<id>_<secret>``. The front end replaces it by a `Proof` as
+soon as the head is parsed, so that events, logs and dumps never hold a key::
+
+    parse_key("gh_k7_s3cret")
+    # Proof(key_id='k7', digest='...')
+
+The proof is a plain digest of a random secret; the stored hash is a digest of
+salt and proof. Neither gives the key back.
+"""
+
+from hashlib import sha256
+from hmac import compare_digest
+
+import attrs
+
+KEY_PREFIX = "gh"
+
+
+@attrs.frozen
+class Proof:
+    """What a caller presented, with the secret digested away."""
+
+    key_id: str
+    digest: str = attrs.field(repr=False, metadata={"secret": True})
+
+
+@attrs.frozen
+class KeyRecord:
+    """A key as the catalogue stores it."""
+
+    workspace: str
+    salt: str = attrs.field(repr=False, metadata={"secret": True})
+    hashed: str = attrs.field(repr=False, metadata={"secret": True})
+
+    @classmethod
+    def from_secret(cls, workspace: str, salt: str, secret: str) -> "KeyRecord":
+        """Return the record to store for a new key's `secret`."""
+        return cls(workspace, salt, _hash_digest(salt, _digest_secret(secret)))
+
+    def accepts(self, proof: Proof) -> bool:
+        """Tell in constant time whether `proof` belongs to this key."""
+        return compare_digest(self.hashed, _hash_digest(self.salt, proof.digest))
+
+
+def format_key(key_id: str, secret: str) -> str:
+    """Return the key as it is shown to its owner, once."""
+    return f"{KEY_PREFIX}_{key_id}_{secret}"
+
+
+def parse_key(text: str) -> Proof | None:
+    """Return the proof for a key's text, or None if it is no key."""
+    parts = text.split("_", 2)
+    if len(parts) != 3 or parts[0] != KEY_PREFIX or not parts[1] or not parts[2]:
+        return None
+    return Proof(parts[1], _digest_secret(parts[2]))
+
+
+def _digest_secret(secret: str) -> str:
+    return sha256(secret.encode()).hexdigest()
+
+
+def _hash_digest(salt: str, digest: str) -> str:
+    return sha256(f"{salt}:{digest}".encode()).hexdigest()
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/records.py
@@ -0,0 +1,51 @@
+"""Records kept in the platform's object store, and how they are named.
+
+Each kind of record is an attrs class registered under its kind::
+
+    @RECORD_KINDS.register("workspace")
+    @attrs.frozen(kw_only=True)
+    class Workspace: ...
+
+    ObjectKey("workspace", "riga-audit")
+"""
+
+from enum import Enum
+from typing import Any
+
+import attrs
+
+from geraniumhall_core.registry import Registry
+
+RECORD_KINDS: Registry[str, type] = Registry("record kind")
+
+
+class Sentinel(Enum):
+    """Values that stand for the absence of a record."""
+
+    DELETED = "deleted"
+
+    def __repr__(self) -> str:
+        return self.name
+
+
+DELETED = Sentinel.DELETED
+
+
+@attrs.frozen(order=True)
+class ObjectKey:
+    """The name of one object: its kind and its name within the kind."""
+
+    kind: str
+    name: str
+
+
+@attrs.frozen
+class VersionedRecord:
+    """One object as the store holds it; a deletion has a version too.
+
+    Versions come from one counter that rises with every write to the store.
+    """
+
+    key: ObjectKey
+    version: int
+    record: Any
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/refusals.py
@@ -0,0 +1,67 @@
+"""Error sentinels: each way to refuse a request, with a reason and a verdict.
+
+The sentinels are values, not exceptions. A front end turns the code into its
+own status (HTTP 404, a gRPC status); the reason is for people.
+"""
+
+import attrs
+
+from geraniumhall_core.verdict import Verdict
+
+
+@attrs.frozen
+class Refusal:
+    """A refusal of one request.
+
+    `retry_after` is in seconds; it is None where a retry can't be timed.
+    """
+
+    code: str
+    reason: str
+    verdict: Verdict = Verdict.NOT_RUN
+    retry_after: float | None = None
+
+    def because(self, reason: str) -> "Refusal":
+        """Return the same refusal with a more exact reason."""
+        return attrs.evolve(self, reason=reason)
+
+    def with_verdict(self, verdict: Verdict) -> "Refusal":
+        """Return the same refusal under another verdict."""
+        return attrs.evolve(self, verdict=verdict)
+
+    def retry_in(self, seconds: float) -> "Refusal":
+        """Return the same refusal with a time in seconds to retry after."""
+        return attrs.evolve(self, retry_after=seconds)
+
+
+MALFORMED = Refusal("malformed", "the request could not be parsed")
+BODY_TOO_LARGE = Refusal("body_too_large", "the request body is over the limit")
+HEAD_TOO_LARGE = Refusal("head_too_large", "the request head is over the limit")
+REQUEST_TIMEOUT = Refusal("request_timeout", "the request did not arrive in time")
+METHOD_NOT_ALLOWED = Refusal("method_not_allowed", "the method is not allowed here")
+UNKNOWN_ROUTE = Refusal("unknown_route", "no catalogue entry has this path")
+UNKNOWN_MODEL = Refusal("unknown_model", "no catalogue entry has this model")
+KEY_MISSING = Refusal("key_missing", "the route needs a key and none was sent")
+KEY_UNKNOWN = Refusal("key_unknown", "the key is unknown or withdrawn")
+NOT_PERMITTED = Refusal("not_permitted", "the entry is not open to this workspace")
+CATALOGUE_STALE = Refusal(
+    "catalogue_stale", "the host can't confirm that the key is still valid"
+)
+RATE_EXCEEDED = Refusal("rate_exceeded", "the workspace is over its rate")
+OVERLOADED = Refusal("overloaded", "the queue for this entry is full")
+DEADLINE_EXCEEDED = Refusal("deadline_exceeded", "the deadline passed")
+DRAINING = Refusal("draining", "the host is being drained")
+NO_SERVER = Refusal("no_backend_server", "no backend server can take the request")
+ALREADY_CLAIMED = Refusal(
+    "already_claimed",
+    "another request with this idempotency key was accepted before",
+    Verdict.MAY_HAVE_RUN,
+)
+CLAIM_UNCONFIRMED = Refusal(
+    "claim_unconfirmed", "the platform did not confirm the idempotency key"
+)
+UPSTREAM_FAILED = Refusal(
+    "upstream_failed",
+    "the backend server failed before the answer was whole",
+    Verdict.MAY_HAVE_RUN,
+)
