Serve a request from end to end as separate processes

Cause: the skeleton had decisions but nothing that carried them out. Change: codecs and checked YAML settings (wire), h11 on both sides over trio (net, a sixth package: daemon, stand-ins and command line share one HTTP implementation instead of three), the daemon's performers and listeners, and stand-ins for platform, engine and plain service with faults by registry. Ruled out: h11 inside geraniumhall-wire, which would have put input and output beside the codecs.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
@@ -35,16 +35,26 @@
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.platform import (
+    Answer,
+    Conflict,
     DeleteObject,
     GetObject,
     ListHosts,
     ListObjects,
+    Message,
+    ObjectFound,
+    ObjectMissing,
+    PlatformFailure,
     PutObject,
+    Written,
 )
-from geraniumhall_core.purposes import ServeAdmin
+from geraniumhall_core.purposes import ConfirmEdit, ServeAdmin
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.state import DaemonState
+from geraniumhall_core.verdict import Verdict
+
+READ_BACK_DELAY_SECONDS = 0.1
 
 CommandHandler = Callable[[DaemonState, AdminCalled, Any], Iterator[Effect]]
 COMMAND_HANDLERS: Registry[type[AdminCommand], CommandHandler] = Registry(
@@ -65,11 +75,31 @@
 def return_result(
     state: DaemonState, event: PlatformAnswered, purpose: ServeAdmin
 ) -> Iterator[Effect]:
-    """Hand the platform's answer to the operator."""
+    """Hand the platform's answer to the operator.
+
+    A write whose reply was lost is read back first.
+    """
+    message = purpose.message
+    if _is_unknown(event.answer) and isinstance(message, PutObject | DeleteObject):
+        yield CallPlatform(
+            purpose=ConfirmEdit(purpose.call_id, message),
+            message=GetObject(message.key),
+            delay=READ_BACK_DELAY_SECONDS,
+        )
+        return
     answer = PlatformResult(event.answer)
     yield AnswerAdmin(call_id=purpose.call_id, answer=answer)
 
 
+@ANSWER_HANDLERS.register(ConfirmEdit)
+def confirm_edit(
+    state: DaemonState, event: PlatformAnswered, purpose: ConfirmEdit
+) -> Iterator[Effect]:
+    """Tell the operator what became of a write whose reply was lost."""
+    result = PlatformResult(_judge_edit(event.answer, purpose.message))
+    yield AnswerAdmin(call_id=purpose.call_id, answer=result)
+
+
 @COMMAND_HANDLERS.register(ReadRecord)
 def read_record(
     state: DaemonState, event: AdminCalled, command: ReadRecord
@@ -212,8 +242,29 @@
     return None
 
 
-def _call_platform(event: AdminCalled, message: Any) -> CallPlatform:
-    return CallPlatform(purpose=ServeAdmin(event.call_id), message=message)
+def _call_platform(event: AdminCalled, message: Message) -> CallPlatform:
+    return CallPlatform(purpose=ServeAdmin(event.call_id, message), message=message)
+
+
+def _is_unknown(answer: Answer) -> bool:
+    if not isinstance(answer, PlatformFailure):
+        return False
+    return answer.verdict is not Verdict.NOT_RUN
+
+
+def _judge_edit(found: Answer, message: PutObject | DeleteObject) -> Answer:
+    if isinstance(found, ObjectMissing) and isinstance(message, DeleteObject):
+        return Written(0)
+    if not isinstance(found, ObjectFound):
+        reason = "no reply to the write, and none to reading it back"
+        return PlatformFailure(reason, Verdict.MAY_HAVE_RUN)
+    current = found.object
+    if isinstance(message, PutObject) and current.record == message.record:
+        return Written(current.version)
+    if current.version == message.if_version:
+        reason = "no reply to the write; it had not taken effect when read back"
+        return PlatformFailure(reason, Verdict.MAY_HAVE_RUN)
+    return Conflict(current)
 
 
 def _describe_server(
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from geraniumhall_core.platform import DeleteObject, Message, PutObject
 from geraniumhall_core.records import ObjectKey
 
 
@@ -41,3 +42,12 @@
     """Carry out an operator's call."""
 
     call_id: int
+    message: Message
+
+
+@attrs.frozen
+class ConfirmEdit(Purpose):
+    """Read back an operator's edit whose write got no reply."""
+
+    call_id: int
+    message: PutObject | DeleteObject
--- /dev/null
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The geraniumhall daemon: performers, listeners and timers on trio."""
--- /dev/null
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
@@ -0,0 +1,104 @@
+"""The listener for operators."""
+
+from hashlib import sha256
+from hmac import compare_digest
+from secrets import token_hex, token_urlsafe
+
+import trio
+
+from geraniumhall_core.admin import AdminAnswer, AdminCommand, WriteRecord
+from geraniumhall_core.events import AdminCalled
+from geraniumhall_core.keys import format_key
+from geraniumhall_core.refusals import Refusal
+from geraniumhall_daemon.daemon import Daemon
+from geraniumhall_daemon.health import HEALTH_CHECKS, answer_health
+from geraniumhall_net.server import (
+    PeerGoneError,
+    ReceivedRequest,
+    ServerConnection,
+    ServerLimits,
+    open_server_connection,
+)
+from geraniumhall_wire.admin_json import (
+    AdminFault,
+    AdminReply,
+    NewKey,
+    encode_admin_answer,
+    encode_admin_fault,
+    parse_admin_call,
+)
+from geraniumhall_wire.caller import Header, RequestHead
+from geraniumhall_wire.refusals import encode_refusal, get_status
+
+JSON_HEADERS: tuple[Header, ...] = ((b"content-type", b"application/json"),)
+KEY_ID_BYTES = 4
+SALT_BYTES = 8
+SECRET_BYTES = 32
+
+
+async def serve_operator(daemon: Daemon, stream: trio.abc.Stream) -> None:
+    """Serve one operator's connection until it closes."""
+    async with open_server_connection(stream, ServerLimits()) as connection:
+        try:
+            while await _serve_request(daemon, connection):
+                pass
+        except PeerGoneError:
+            return
+
+
+async def _serve_request(daemon: Daemon, connection: ServerConnection) -> bool:
+    received = await connection.receive_request()
+    if received is None:
+        return False
+    if isinstance(received, Refusal):
+        body = encode_refusal(received)
+        await connection.send_response(get_status(received), JSON_HEADERS, body, True)
+        return False
+    if received.head.path in HEALTH_CHECKS:
+        await answer_health(daemon, connection, received.head.path)
+        return connection.start_next_cycle()
+    reply = await _answer(daemon, received)
+    tag = str(reply.version).encode()
+    headers = JSON_HEADERS
+    if reply.version is not None:
+        headers = (*headers, (b"etag", b'"' + tag + b'"'))
+    await connection.send_response(reply.status, headers, reply.encode())
+    return connection.start_next_cycle()
+
+
+async def _answer(daemon: Daemon, received: ReceivedRequest) -> AdminReply:
+    if not _is_authorized(daemon.settings.admin.token_sha256, received.head):
+        fault = AdminFault(401, "token_unknown", "the operators' token is needed")
+        return encode_admin_fault(fault)
+    new_key = NewKey(
+        token_hex(KEY_ID_BYTES), token_hex(SALT_BYTES), token_urlsafe(SECRET_BYTES)
+    )
+    command = parse_admin_call(received.head, received.body, new_key)
+    if isinstance(command, AdminFault):
+        return encode_admin_fault(command)
+    reply = encode_admin_answer(await _call(daemon, command))
+    if isinstance(command, WriteRecord) and command.key.name == new_key.key_id:
+        return _add_key(reply, new_key)
+    return reply
+
+
+async def _call(daemon: Daemon, command: AdminCommand) -> AdminAnswer:
+    sender, receiver = trio.open_memory_channel[AdminAnswer](1)
+    call_id = daemon.number_call()
+    daemon.admin_calls[call_id] = sender
+    daemon.dispatch(AdminCalled(at=daemon.read_now(), call_id=call_id, command=command))
+    return await receiver.receive()
+
+
+def _add_key(reply: AdminReply, new_key: NewKey) -> AdminReply:
+    if reply.status != 200:
+        return reply
+    shown = {"id": new_key.key_id, "key": format_key(new_key.key_id, new_key.secret)}
+    return AdminReply(201, {**reply.data, **shown}, reply.version)
+
+
+def _is_authorized(token_sha256: str, head: RequestHead) -> bool:
+    if not token_sha256:
+        return True
+    sent = (head.find(b"authorization") or b"").removeprefix(b"Bearer ")
+    return compare_digest(sha256(sent).hexdigest(), token_sha256.lower())
--- /dev/null
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -0,0 +1,161 @@
+"""The daemon process: it feeds events to the reducer and performs its effects."""
+
+from collections import deque
+from itertools import count
+from random import Random
+from typing import Protocol
+
+import attrs
+import trio
+
+from geraniumhall_core.events import DaemonStarted, Ticked
+from geraniumhall_core.handlers import REDUCER
+from geraniumhall_core.performers import Performers
+from geraniumhall_core.reducer import Effect, Event
+from geraniumhall_core.state import DaemonState
+from geraniumhall_daemon.clock import SystemClock
+from geraniumhall_daemon.drivers import PLATFORM_DRIVERS, PlatformDriver
+from geraniumhall_daemon.exchanges import Exchange
+from geraniumhall_daemon.metrics import MetricsSink
+from geraniumhall_net.client import ClientPool, Connector, connect_tcp
+from geraniumhall_net.listener import Listener
+from geraniumhall_wire.settings import Settings
+
+TICK_SECONDS = 0.25
+INCARNATION_BITS = 48
+HISTORY_LENGTH = 128
+
+PERFORMERS = Performers("daemon")
+
+
+class Clock(Protocol):
+    """Clocks in seconds."""
+
+    def read_now(self) -> float:
+        """Return a clock that never runs back and counts suspension."""
+
+    def read_wall_time(self) -> float:
+        """Return seconds since the epoch."""
+
+
+class Recorder(Protocol):
+    """Takes each event with its effects."""
+
+    def record(self, event: Event, effects: tuple[Effect, ...]) -> None:
+        """Take one event and what it led to."""
+
+
+@attrs.define
+class RecentHistory:
+    """Keeps the last events and effects for the state dump."""
+
+    steps: deque[tuple[Event, tuple[Effect, ...]]] = attrs.field(
+        factory=lambda: deque(maxlen=HISTORY_LENGTH)
+    )
+
+    def record(self, event: Event, effects: tuple[Effect, ...]) -> None:
+        """Keep one step and forget the oldest."""
+        self.steps.append((event, effects))
+
+
+@attrs.define(eq=False, kw_only=True)
+class Daemon:
+    """One daemon process on a trio loop."""
+
+    settings: Settings
+    state: DaemonState
+    clock: Clock
+    random: Random
+    platform: PlatformDriver
+    pool: ClientPool
+    metrics: MetricsSink
+    recorder: Recorder
+    exchanges: dict[str, Exchange] = attrs.field(factory=dict)
+    admin_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
+    listeners: list[Listener] = attrs.field(factory=list)
+    nursery: trio.Nursery | None = None
+    ended: trio.Event = attrs.field(factory=trio.Event)
+    _pending: deque[Event] = attrs.field(factory=deque)
+    _is_dispatching: bool = False
+    _ids: count = attrs.field(factory=lambda: count(1))
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        clock: Clock | None = None,
+        random: Random | None = None,
+        connector: Connector = connect_tcp,
+        recorder: Recorder | None = None,
+    ) -> "Daemon":
+        """Return a daemon that has not started yet."""
+        random = random or Random()
+        incarnation = f"{random.getrandbits(INCARNATION_BITS):012x}"
+        policy = settings.build_policy(incarnation)
+        pool = ClientPool(
+            connector=connector,
+            connect_timeout=settings.upstream.connect_timeout,
+            idle_timeout=settings.upstream.idle_timeout,
+            max_idle=settings.upstream.max_idle,
+        )
+        return cls(
+            settings=settings,
+            state=DaemonState.from_policy(policy),
+            clock=clock or SystemClock(),
+            random=random,
+            platform=PLATFORM_DRIVERS.find(settings.platform.driver)(settings),
+            pool=pool,
+            metrics=MetricsSink.from_settings(settings.metrics),
+            recorder=recorder or RecentHistory(),
+        )
+
+    def dispatch(self, event: Event) -> None:
+        """Reduce an event and perform its effects, in the order of arrival."""
+        self._pending.append(event)
+        if self._is_dispatching:
+            return
+        self._is_dispatching = True
+        try:
+            while self._pending:
+                self._reduce(self._pending.popleft())
+        finally:
+            self._is_dispatching = False
+
+    def read_now(self) -> float:
+        """Return the time for an event."""
+        return self.clock.read_now()
+
+    def draw(self) -> tuple[float, float]:
+        """Return two random numbers for an event."""
+        return self.random.random(), self.random.random()
+
+    def name_request(self) -> str:
+        """Return an id that no other request of any process has."""
+        policy = self.state.policy
+        return f"{policy.host}-{policy.incarnation}-{next(self._ids)}"
+
+    def number_call(self) -> int:
+        """Return a number that no other admin call of this process has."""
+        return next(self._ids)
+
+    async def run_timers(self) -> None:
+        """Start the reducer's work and tell it the time until the end."""
+        self.dispatch(DaemonStarted(at=self.read_now()))
+        while not self.ended.is_set():
+            self.dispatch(Ticked(at=self.read_now(), draws=self.draw()))
+            with trio.move_on_after(TICK_SECONDS):
+                await self.ended.wait()
+
+    def _reduce(self, event: Event) -> None:
+        effects = REDUCER.reduce(self.state, event)
+        self.recorder.record(event, effects)
+        for effect in effects:
+            self._perform(effect)
+
+    def _perform(self, effect: Effect) -> None:
+        performer = PERFORMERS.find(effect)
+        if performer.is_task:
+            assert self.nursery is not None
+            self.nursery.start_soon(performer.function, self, effect)
+        else:
+            performer.function(self, effect)
--- /dev/null
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/exchanges.py
@@ -0,0 +1,57 @@
+"""Requests under way at the callers' front end.
+
+The reducer's effects for a request are handed to the task of its connection,
+which carries them out one after another.
+"""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import trio
+
+from geraniumhall_core.effects import (
+    AbortResponse,
+    CloseExchange,
+    RefuseRequest,
+    RelayRequest,
+)
+from geraniumhall_core.reducer import Effect
+from geraniumhall_core.registry import Registry
+from geraniumhall_net.server import ServerConnection
+from geraniumhall_wire.caller import ParsedCall
+
+ExchangeStep = Callable[[Any, "Exchange", Any], Awaitable[None]]
+EXCHANGE_STEPS: Registry[type[Effect], ExchangeStep] = Registry("exchange step")
+EXCHANGE_EFFECTS = (RefuseRequest, RelayRequest, AbortResponse, CloseExchange)
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One request and its answer on a caller's connection."""
+
+    call: ParsedCall
+    connection: ServerConnection
+    is_finished: bool = False
+    must_close: bool = False
+    _effects: deque[Effect] = attrs.field(factory=deque, init=False)
+    _arrival: trio.Event | None = attrs.field(default=None, init=False)
+
+    @property
+    def request_id(self) -> str:
+        """The request's id."""
+        return self.call.request.request_id
+
+    def hand_over(self, effect: Effect) -> None:
+        """Give the exchange its next effect."""
+        self._effects.append(effect)
+        if self._arrival is not None:
+            self._arrival.set()
+
+    async def receive_effect(self) -> Effect:
+        """Wait for the next effect."""
+        while not self._effects:
+            self._arrival = trio.Event()
+            await self._arrival.wait()
+        return self._effects.popleft()
--- /dev/null
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
@@ -0,0 +1,85 @@
+"""Performers of the daemon's effects, but for answers to callers."""
+
+import trio
+
+from geraniumhall_core.effects import (
+    AnswerAdmin,
+    CallPlatform,
+    EmitMetrics,
+    EndProcess,
+    StopListening,
+    WriteDump,
+    WriteLog,
+)
+from geraniumhall_core.events import PlatformAnswered
+from geraniumhall_core.reducer import Effect
+from geraniumhall_daemon.daemon import PERFORMERS, Daemon
+from geraniumhall_daemon.exchanges import EXCHANGE_EFFECTS
+from geraniumhall_daemon.logs import write_log
+from geraniumhall_wire.description import describe
+
+
+@PERFORMERS.performs(*EXCHANGE_EFFECTS)
+def hand_over(daemon: Daemon, effect: Effect) -> None:
+    """Give an effect to the task of the request's connection."""
+    exchange = daemon.exchanges.get(effect.request_id)  # type: ignore[attr-defined]
+    if exchange is not None:
+        exchange.hand_over(effect)
+
+
+@PERFORMERS.performs(CallPlatform)
+async def call_platform(daemon: Daemon, effect: CallPlatform) -> None:
+    """Call the platform and report its answer."""
+    if effect.delay:
+        await trio.sleep(effect.delay)
+    asked_at = daemon.read_now()
+    answer = await daemon.platform.call(effect.message)
+    daemon.dispatch(
+        PlatformAnswered(
+            at=daemon.read_now(),
+            asked_at=asked_at,
+            purpose=effect.purpose,
+            answer=answer,
+            draws=daemon.draw(),
+        )
+    )
+
+
+@PERFORMERS.performs(AnswerAdmin)
+def answer_admin(daemon: Daemon, effect: AnswerAdmin) -> None:
+    """Give an answer to the task of the operator's connection."""
+    channel = daemon.admin_calls.pop(effect.call_id, None)
+    if channel is not None:
+        channel.send_nowait(effect.answer)
+
+
+@PERFORMERS.performs(WriteLog)
+def write_log_line(daemon: Daemon, effect: WriteLog) -> None:
+    """Write a log line."""
+    fields = {field.name: field.value for field in effect.fields}
+    write_log(effect.level, effect.event, fields)
+
+
+@PERFORMERS.performs(WriteDump)
+def write_dump(daemon: Daemon, effect: WriteDump) -> None:
+    """Write the state to the log as one line."""
+    write_log("info", "state_dump", {"state": describe(daemon.state)})
+
+
+@PERFORMERS.performs(EmitMetrics)
+def emit_metrics(daemon: Daemon, effect: EmitMetrics) -> None:
+    """Send metrics."""
+    daemon.metrics.send(effect)
+
+
+@PERFORMERS.performs(StopListening)
+def stop_listening(daemon: Daemon, effect: StopListening) -> None:
+    """Close the listeners."""
+    for listener in daemon.listeners:
+        listener.stop()
+
+
+@PERFORMERS.performs(EndProcess)
+def end_process(daemon: Daemon, effect: EndProcess) -> None:
+    """Let the process end."""
+    daemon.ended.set()
--- /dev/null
+++ b/packages/geraniumhall-net/src/geraniumhall_net/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP over trio streams by h11, server and client side."""
--- /dev/null
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -0,0 +1,230 @@
+"""The client side of HTTP connections, and pools of idle ones.
+
+A connection carries one exchange at a time. One whose exchange was cut,
+cancelled or timed out is closed and never used again.
+"""
+
+from collections.abc import Awaitable, Callable
+from json import dumps
+
+import attrs
+import h11
+import trio
+
+from geraniumhall_wire.caller import Header, UpstreamRequest
+from geraniumhall_wire.settings import split_address
+
+RECEIVE_BYTES = 65536
+
+Connector = Callable[[str], Awaitable[trio.abc.Stream]]
+
+
+class ConnectFailedError(ConnectionError):
+    """Raised when no connection could be made; nothing was sent."""
+
+
+class ExchangeFailedError(ConnectionError):
+    """Raised when an exchange broke; the request may have run."""
+
+
+@attrs.frozen
+class ResponseHead:
+    """Status and headers of an answer; header names are lower case."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+@attrs.frozen
+class WholeResponse:
+    """A whole answer."""
+
+    head: ResponseHead
+    body: bytes
+
+
+async def connect_tcp(address: str) -> trio.abc.Stream:
+    """Connect to an address such as ``127.0.0.1:80``.
+
+    Raises `ConnectFailedError`.
+    """
+    host, port = split_address(address)
+    try:
+        return await trio.open_tcp_stream(host, port)
+    except OSError as error:
+        raise ConnectFailedError(f"{address}: {error}") from error
+
+
+@attrs.define(eq=False)
+class ClientConnection:
+    """One connection to a server."""
+
+    _stream: trio.abc.Stream
+    _host: bytes
+    _http: h11.Connection
+    idle_since: float = 0.0
+    _is_ended: bool = attrs.field(default=False, init=False)
+
+    @classmethod
+    def from_stream(cls, stream: trio.abc.Stream, address: str) -> "ClientConnection":
+        """Return the connection over a stream that was just opened."""
+        return cls(stream, address.encode(), h11.Connection(h11.CLIENT))
+
+    async def send_request(
+        self, request: UpstreamRequest, extra: tuple[Header, ...] = ()
+    ) -> None:
+        """Send a whole request; raises `ExchangeFailedError`."""
+        length = (b"content-length", str(len(request.body)).encode())
+        headers = [(b"host", self._host), *request.headers, length, *extra]
+        try:
+            head = h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+            parts = [self._http.send(head)]
+            parts.append(self._http.send(h11.Data(data=request.body)))
+            parts.append(self._http.send(h11.EndOfMessage()))
+            await self._stream.send_all(b"".join(part or b"" for part in parts))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ExchangeFailedError(f"sending failed: {error}") from error
+
+    async def read_head(self) -> ResponseHead:
+        """Return the head of the final answer; raises `ExchangeFailedError`."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return ResponseHead(event.status_code, tuple(event.headers))
+
+    async def read_chunk(self) -> bytes | None:
+        """Return what has arrived of the body, or None once it is whole.
+
+        Raises `ExchangeFailedError` if the connection ends before that.
+        """
+        pieces = []
+        while not self._is_ended:
+            event = self._try_next_event()
+            if isinstance(event, h11.Data):
+                pieces.append(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._is_ended = True
+            elif pieces:
+                break
+            else:
+                await self._receive_more()
+        return b"".join(pieces) if pieces else None
+
+    async def read_body(self) -> bytes:
+        """Return the whole body."""
+        pieces = []
+        while (chunk := await self.read_chunk()) is not None:
+            pieces.append(chunk)
+        return b"".join(pieces)
+
+    def start_next_cycle(self) -> bool:
+        """Make ready for the next exchange; False if that can't be."""
+        try:
+            self._http.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        self._is_ended = False
+        return not self._http.trailing_data[0]
+
+    async def close(self) -> None:
+        """Close at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _next_event(self) -> object:
+        event = self._try_next_event()
+        while event is h11.NEED_DATA:
+            await self._receive_more()
+            event = self._try_next_event()
+        return event
+
+    def _try_next_event(self) -> object:
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ExchangeFailedError(f"malformed answer: {error}") from error
+        if isinstance(event, h11.ConnectionClosed):
+            raise ExchangeFailedError("the connection was closed")
+        return event
+
+    async def _receive_more(self) -> None:
+        try:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ExchangeFailedError(f"receiving failed: {error}") from error
+        self._http.receive_data(data)
+
+
+@attrs.define(eq=False)
+class ClientPool:
+    """Idle connections by address; times are in seconds."""
+
+    connector: Connector = connect_tcp
+    connect_timeout: float = 1.0
+    idle_timeout: float = 4.0
+    max_idle: int = 64
+    _idle: dict[str, list[ClientConnection]] = attrs.field(factory=dict, init=False)
+
+    async def take(self, address: str, reuse: bool = True) -> ClientConnection:
+        """Return an idle connection or a new one; raises `ConnectFailedError`."""
+        idle = self._idle.get(address, [])
+        while reuse and idle:
+            connection = idle.pop()
+            if trio.current_time() - connection.idle_since <= self.idle_timeout:
+                return connection
+            await connection.close()
+        with trio.move_on_after(self.connect_timeout):
+            return ClientConnection.from_stream(await self.connector(address), address)
+        raise ConnectFailedError(f"{address}: no connection in time")
+
+    async def give_back(self, address: str, connection: ClientConnection) -> None:
+        """Keep a connection whose exchange is whole, if it can be used again."""
+        idle = self._idle.setdefault(address, [])
+        if len(idle) >= self.max_idle or not connection.start_next_cycle():
+            await connection.close()
+            return
+        connection.idle_since = trio.current_time()
+        idle.append(connection)
+
+    async def close_idle(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            while idle:
+                await idle.pop().close()
+
+
+async def request_whole(
+    pool: ClientPool, address: str, request: UpstreamRequest, timeout: float
+) -> WholeResponse:
+    """Make one exchange and return the whole answer.
+
+    Raises `ConnectFailedError` if nothing was sent, else
+    `ExchangeFailedError`.
+    """
+    connection = await pool.take(address)
+    is_whole = False
+    try:
+        with trio.move_on_after(timeout):
+            await connection.send_request(request)
+            head = await connection.read_head()
+            body = await connection.read_body()
+            is_whole = True
+            return WholeResponse(head, body)
+        raise ExchangeFailedError(f"no whole answer within {timeout} s")
+    finally:
+        if is_whole:
+            await pool.give_back(address, connection)
+        else:
+            await connection.close()
+
+
+def build_json_request(method: str, target: str, data: object) -> UpstreamRequest:
+    """Return a request with a JSON body."""
+    headers = ((b"content-type", b"application/json"),)
+    body = b"" if data is None else dumps(data).encode()
+    return UpstreamRequest(method.encode(), target.encode(), headers, body)
--- /dev/null
+++ b/packages/geraniumhall-net/src/geraniumhall_net/listener.py
@@ -0,0 +1,69 @@
+"""TCP listeners that bound their connections and can be stopped in two steps."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from geraniumhall_wire.settings import split_address
+
+BACKLOG = 1024
+
+ConnectionHandler = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class Listener:
+    """Accept connections up to a bound; more wait in the kernel's backlog."""
+
+    _listeners: list[trio.SocketListener]
+    _handler: ConnectionHandler
+    _limit: trio.CapacityLimiter
+    _accepting: trio.CancelScope = attrs.field(factory=trio.CancelScope, init=False)
+
+    @classmethod
+    async def from_address(
+        cls, address: str, handler: ConnectionHandler, max_connections: int
+    ) -> "Listener":
+        """Bind an address; raises `OSError` if that fails."""
+        host, port = split_address(address)
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        return cls(listeners, handler, trio.CapacityLimiter(max_connections))
+
+    @property
+    def address(self) -> str:
+        """The bound address."""
+        host, port = self._listeners[0].socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def serve(self, nursery: trio.Nursery) -> None:
+        """Accept connections and handle each in a task of `nursery`."""
+        with self._accepting:
+            while True:
+                await self._accept_one(nursery)
+        for listener in self._listeners:
+            await listener.aclose()
+
+    def stop(self) -> None:
+        """Accept no more; connections that are open go on."""
+        self._accepting.cancel()
+
+    async def _accept_one(self, nursery: trio.Nursery) -> None:
+        token = object()
+        await self._limit.acquire_on_behalf_of(token)
+        try:
+            stream = await self._listeners[0].accept()
+        except OSError:
+            self._limit.release_on_behalf_of(token)
+            await trio.sleep(0.01)
+            return
+        except trio.Cancelled:
+            self._limit.release_on_behalf_of(token)
+            raise
+        nursery.start_soon(self._handle, stream, token)
+
+    async def _handle(self, stream: trio.SocketStream, token: object) -> None:
+        try:
+            await self._handler(stream)
+        finally:
+            self._limit.release_on_behalf_of(token)
--- /dev/null
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -0,0 +1,229 @@
+"""The server side of one HTTP connection.
+
+A pump task reads ahead by one chunk, so that a peer that closes is noticed
+while its answer is being prepared::
+
+    async with open_server_connection(stream, limits) as connection:
+        request = await connection.receive_request()
+        await connection.send_response(200, (), b"hello")
+"""
+
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+
+import attrs
+import h11
+import trio
+
+from geraniumhall_core.refusals import (
+    BODY_TOO_LARGE,
+    HEAD_TOO_LARGE,
+    MALFORMED,
+    REQUEST_TIMEOUT,
+    Refusal,
+)
+from geraniumhall_wire.caller import Header, RequestHead
+
+RECEIVE_BYTES = 65536
+STATUS_HEAD_TOO_LARGE = 431
+
+
+class PeerGoneError(ConnectionError):
+    """Raised when the peer of a server connection closed or broke it."""
+
+
+@attrs.frozen
+class ServerLimits:
+    """Bounds of a server connection; sizes in bytes, times in seconds."""
+
+    max_head: int = 32768
+    max_body: int = 8 * 2**20
+    read_timeout: float = 30.0
+    idle_timeout: float = 60.0
+
+
+@attrs.frozen
+class ReceivedRequest:
+    """A whole request."""
+
+    head: RequestHead
+    body: bytes
+
+
+@attrs.define(eq=False)
+class ServerConnection:
+    """One connection from a client; requests are served one after another."""
+
+    _stream: trio.abc.Stream
+    _limits: ServerLimits
+    _http: h11.Connection
+    _sender: trio.MemorySendChannel
+    _receiver: trio.MemoryReceiveChannel
+    _watch: trio.CancelScope | None = None
+    _is_peer_gone: bool = False
+
+    @classmethod
+    def from_stream(
+        cls, stream: trio.abc.Stream, limits: ServerLimits
+    ) -> "ServerConnection":
+        """Return the connection over a stream that was just accepted."""
+        sender, receiver = trio.open_memory_channel[bytes](1)
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head)
+        return cls(stream, limits, http, sender, receiver)
+
+    async def pump(self) -> None:
+        """Read from the stream until the peer closes it."""
+        data = b"-"
+        while data:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                self._note_peer_gone()
+            await self._sender.send(data)
+
+    @contextmanager
+    def watch_peer(self) -> Iterator[trio.CancelScope]:
+        """Cancel the block when the peer goes away."""
+        with trio.CancelScope() as scope:
+            self._watch = scope
+            if self._is_peer_gone:
+                scope.cancel()
+            try:
+                yield scope
+            finally:
+                self._watch = None
+
+    async def receive_request(self) -> ReceivedRequest | Refusal | None:
+        """Return the next request, a refusal if it is faulty, or None at the end."""
+        with trio.move_on_after(self._limits.idle_timeout) as idle:
+            if not await self._receive_first_bytes():
+                return None
+        if idle.cancelled_caught:
+            return None
+        with trio.move_on_after(self._limits.read_timeout):
+            try:
+                return await self._read_request()
+            except h11.RemoteProtocolError as error:
+                return _classify_fault(error)
+        return REQUEST_TIMEOUT
+
+    async def send_response(
+        self,
+        status: int,
+        headers: tuple[Header, ...],
+        body: bytes,
+        close: bool = False,
+    ) -> None:
+        """Send a whole response; raises `PeerGoneError`."""
+        length = (b"content-length", str(len(body)).encode())
+        head = self._build_head(status, (*headers, length), close)
+        parts = [self._http.send(head), self._http.send(h11.Data(data=body))]
+        parts.append(self._http.send(h11.EndOfMessage()))
+        await self._send_bytes(b"".join(part or b"" for part in parts))
+
+    async def start_response(
+        self,
+        status: int,
+        headers: tuple[Header, ...],
+        first: bytes = b"",
+        close: bool = False,
+    ) -> None:
+        """Send the head of a response and its first bytes."""
+        data = self._http.send(self._build_head(status, headers, close)) or b""
+        if first:
+            data += self._http.send(h11.Data(data=first)) or b""
+        await self._send_bytes(data)
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send more of a response that was started; waits for a slow peer."""
+        await self._send_bytes(self._http.send(h11.Data(data=data)) or b"")
+
+    async def finish_response(self) -> None:
+        """End a response that was started."""
+        await self._send_bytes(self._http.send(h11.EndOfMessage()) or b"")
+
+    def start_next_cycle(self) -> bool:
+        """Make ready for the next request; False if the connection must close."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def _receive_first_bytes(self) -> bool:
+        if self._http.trailing_data[0]:
+            return True
+        data = await self._receiver.receive()
+        self._http.receive_data(data)
+        return bool(data)
+
+    async def _read_request(self) -> ReceivedRequest | Refusal | None:
+        head: RequestHead | None = None
+        body = bytearray()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive_more()
+            elif isinstance(event, h11.Request):
+                head = RequestHead(event.method, event.target, tuple(event.headers))
+                if _declared_length(head) > self._limits.max_body:
+                    return BODY_TOO_LARGE
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.max_body:
+                    return BODY_TOO_LARGE
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return ReceivedRequest(head, bytes(body))
+            else:
+                return None
+
+    async def _receive_more(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            head = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send_bytes(self._http.send(head) or b"")
+        self._http.receive_data(await self._receiver.receive())
+
+    def _build_head(
+        self, status: int, headers: tuple[Header, ...], close: bool
+    ) -> h11.Response:
+        closing = ((b"connection", b"close"),) if close else ()
+        return h11.Response(status_code=status, headers=[*headers, *closing])
+
+    async def _send_bytes(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerGoneError(str(error)) from error
+
+    def _note_peer_gone(self) -> None:
+        self._is_peer_gone = True
+        if self._watch is not None:
+            self._watch.cancel()
+
+
+@asynccontextmanager
+async def open_server_connection(
+    stream: trio.abc.Stream, limits: ServerLimits
+) -> AsyncIterator[ServerConnection]:
+    """Run a connection's pump while the block runs, then close the stream."""
+    connection = ServerConnection.from_stream(stream, limits)
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.pump)
+            yield connection
+            nursery.cancel_scope.cancel()
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+def _declared_length(head: RequestHead) -> int:
+    return int(head.find(b"content-length") or 0)
+
+
+def _classify_fault(error: h11.RemoteProtocolError) -> Refusal:
+    if error.error_status_hint == STATUS_HEAD_TOO_LARGE:
+        return HEAD_TOO_LARGE
+    return MALFORMED.because(f"malformed HTTP: {error}")
--- /dev/null
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/description.py
@@ -0,0 +1,42 @@
+"""Plain descriptions of typed values, for dumps, logs and golden files.
+
+Fields marked as secret are left out, and no type is lost::
+
+    describe(Proof("k7", "..."))   # {'type': 'Proof', 'key_id': 'k7'}
+"""
+
+from collections import deque
+from enum import Enum
+from math import isinf
+from typing import Any
+
+import attrs
+
+
+def describe(value: Any) -> Any:
+    """Return `value` as data that JSON can hold, without secrets."""
+    if attrs.has(type(value)):
+        return _describe_attrs(value)
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, dict):
+        return {_describe_key(k): describe(v) for k, v in value.items()}
+    if isinstance(value, list | tuple | deque):
+        return [describe(item) for item in value]
+    if isinstance(value, set | frozenset):
+        return sorted(describe(item) for item in value)
+    if isinstance(value, float) and isinf(value):
+        return None
+    return value
+
+
+def _describe_attrs(value: Any) -> dict[str, Any]:
+    fields = [f for f in attrs.fields(type(value)) if not f.metadata.get("secret")]
+    described = {f.name.lstrip("_"): describe(getattr(value, f.name)) for f in fields}
+    return {"type": type(value).__name__, **described}
+
+
+def _describe_key(key: Any) -> str:
+    if attrs.has(type(key)):
+        return "/".join(str(part) for part in attrs.astuple(key))
+    return str(key)
