--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# make run: set up and show the whole path; make test: set up and run all tests.
+ROOT := $(patsubst %/,%,$(dir $(abspath $(lastword $(MAKEFILE_LIST)))))
+VENV := $(ROOT)/.venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := core wire net daemon bench cli
+STAMP := $(VENV)/.installed
+
+.PHONY: run test lint format bench capacity clean
+
+run: $(STAMP)
+	$(VENV)/bin/geraniumhall scenario run demo
+
+test: $(STAMP)
+	$(PYTHON) $(ROOT)/tools/run_tests.py
+
+lint: $(STAMP)
+	cd $(ROOT) && $(VENV)/bin/ruff format --check packages tools
+	cd $(ROOT) && $(VENV)/bin/ruff check packages tools
+	cd $(ROOT) && $(VENV)/bin/mypy packages/*/src
+
+format: $(STAMP)
+	cd $(ROOT) && $(VENV)/bin/ruff check --fix packages tools
+	cd $(ROOT) && $(VENV)/bin/ruff format packages tools
+
+bench: $(STAMP)
+	$(VENV)/bin/geraniumhall bench relay
+
+capacity: $(STAMP)
+	$(VENV)/bin/geraniumhall bench capacity
+
+$(STAMP): $(ROOT)/requirements.txt $(wildcard $(ROOT)/packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r $(ROOT)/requirements.txt
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation \
+		$(foreach name,$(PACKAGES),-e $(ROOT)/packages/geraniumhall-$(name))
+	touch $@
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/scenario.py
@@ -0,0 +1,140 @@
+"""The scenario language: a YAML list of steps run against real processes.
+
+Each step is an attrs class registered under its name; the fields of the class
+are the words of the language. Texts may name addresses and keys of earlier
+steps as ``${name}``::
+
+    - start: {kind: engine, name: e1}
+    - put: {kind: server, name: e1, record: {address: "${e1}", ...}}
+    - call: {via: riga-1, model: draft, expect: {status: 200}}
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+from string import Template
+from typing import Any, Protocol
+
+import attrs
+import trio
+import yaml
+
+from geraniumhall_bench.processes import ProcessFailedError, ProcessGroup
+from geraniumhall_core.registry import Registry, UnknownEntryError
+from geraniumhall_net.client import ClientPool
+from geraniumhall_wire.converter import InvalidDataError, build_converter, structure
+
+SCENARIO_FOLDER = Path(__file__).parent / "scenarios"
+
+
+class NameTemplate(Template):
+    """Text with names such as ``${engine-1}`` or ``${riga-1.admin}``."""
+
+    idpattern = r"[A-Za-z][A-Za-z0-9_./-]*"
+
+
+class ScenarioError(ValueError):
+    """Raised when a scenario can't be read; names file, step and fault."""
+
+
+class ExpectationError(AssertionError):
+    """Raised when a step's expectation does not hold."""
+
+
+@attrs.define(eq=False)
+class World:
+    """What the steps of one run share."""
+
+    group: ProcessGroup
+    nursery: trio.Nursery
+    names: dict[str, str] = attrs.field(factory=dict)
+    pool: ClientPool = attrs.field(factory=ClientPool)
+    pending: dict[str, Any] = attrs.field(factory=dict)
+    report: Callable[[str], None] = print
+
+    def expand(self, value: Any) -> Any:
+        """Return `value` with the names in its texts replaced."""
+        if isinstance(value, str):
+            return NameTemplate(value).safe_substitute(self.names)
+        if isinstance(value, list):
+            return [self.expand(item) for item in value]
+        if isinstance(value, dict):
+            return {key: self.expand(item) for key, item in value.items()}
+        return value
+
+    def find(self, name: str) -> str:
+        """Return the address or key that an earlier step gave a name."""
+        if name not in self.names:
+            raise ExpectationError(f"no earlier step made {name!r}")
+        return self.names[name]
+
+
+class Step(Protocol):
+    """One step of a scenario."""
+
+    async def run(self, world: World) -> None:
+        """Carry the step out; raises `ExpectationError`."""
+
+
+STEPS: Registry[str, type] = Registry("scenario step")
+
+_CONVERTER = build_converter()
+
+
+@attrs.frozen
+class Scenario:
+    """A named list of steps."""
+
+    name: str
+    steps: tuple[Step, ...]
+
+    @classmethod
+    def from_file(cls, path: Path) -> "Scenario":
+        """Read a scenario; raises `ScenarioError`."""
+        data = yaml.safe_load(path.read_text())
+        if not isinstance(data, list):
+            raise ScenarioError(f"{path.name}: expected a list of steps")
+        steps = [_read_step(path.name, n, item) for n, item in enumerate(data, 1)]
+        return cls(path.stem, tuple(steps))
+
+    async def run(self, report: Callable[[str], None] = print) -> None:
+        """Run the steps in order; every process is ended afterwards.
+
+        Raises `ExpectationError` for the first step that fails.
+        """
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            group = ProcessGroup(nursery)
+            world = World(group, nursery, report=report)
+            try:
+                await self._run_steps(world)
+            except (ExpectationError, ProcessFailedError) as error:
+                failure = error
+            finally:
+                group.kill_all()
+                nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _run_steps(self, world: World) -> None:
+        for number, step in enumerate(self.steps, 1):
+            try:
+                await step.run(world)
+            except ExpectationError as error:
+                place = f"{self.name}, step {number} ({type(step).__name__})"
+                raise ExpectationError(f"{place}: {error}") from error
+
+
+def find_scenario(name: str) -> Path:
+    """Return the file of a scenario that is shipped, or the path as it is."""
+    shipped = SCENARIO_FOLDER / f"{name}.yaml"
+    return shipped if shipped.exists() else Path(name)
+
+
+def _read_step(file: str, number: int, item: Any) -> Step:
+    if not isinstance(item, dict) or len(item) != 1:
+        raise ScenarioError(f"{file}: step {number}: expected one step name")
+    name, fields = next(iter(item.items()))
+    try:
+        return structure(_CONVERTER, fields or {}, STEPS.find(name))
+    except (InvalidDataError, UnknownEntryError) as error:
+        raise ScenarioError(f"{file}: step {number} ({name}): {error}") from error
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/standins/faults.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/standins/faults.py
@@ -23,7 +23,7 @@
 @FAULTS.register("silent")
 def stay_silent(reply: Reply, amount: float) -> Reply:
     """Never answer, on a connection that stays open."""
-    return attrs.evolve(reply, is_silent=True)
+    return attrs.evolve(reply, chunks=(), is_silent=True)
 
 
 @FAULTS.register("lose_reply")
--- /dev/null
+++ b/packages/geraniumhall-bench/tests/test_scenarios.py
@@ -0,0 +1,59 @@
+"""Runs the shipped scenarios against real processes on loopback."""
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import trio
+
+from geraniumhall_bench import steps
+from geraniumhall_bench.scenario import (
+    SCENARIO_FOLDER,
+    STEPS,
+    Scenario,
+    ScenarioError,
+)
+
+__all__ = ["steps"]
+
+
+class ScenarioTest(unittest.TestCase):
+    """Each scenario holds, step by step."""
+
+    def test_shipped_scenarios(self) -> None:
+        """Every scenario in the folder passes."""
+        for path in sorted(SCENARIO_FOLDER.glob("*.yaml")):
+            with self.subTest(scenario=path.stem):
+                trio.run(Scenario.from_file(path).run, _ignore)
+
+
+class LanguageTest(unittest.TestCase):
+    """A faulty scenario is refused before anything runs."""
+
+    def read(self, text: str) -> str:
+        """Return the message for a faulty scenario."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "faulty.yaml"
+            path.write_text(text)
+            with self.assertRaises(ScenarioError) as caught:
+                Scenario.from_file(path)
+        return str(caught.exception)
+
+    def test_unknown_step(self) -> None:
+        """The message lists the steps that exist."""
+        message = self.read("- jump: {}")
+        self.assertIn("step 1 (jump): unknown scenario step", message)
+
+    def test_unknown_field(self) -> None:
+        """The message names the field."""
+        message = self.read("- call: {via: a, modle: x}")
+        self.assertIn("unknown field modle", message)
+
+    def test_every_step_has_a_description(self) -> None:
+        """The language's words are documented."""
+        for name in STEPS:
+            self.assertTrue(STEPS.find(name).__doc__)
+
+
+def _ignore(line: str) -> None:
+    """Print nothing."""
--- /dev/null
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of geraniumhall."""
--- /dev/null
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/client.py
@@ -0,0 +1,76 @@
+"""Calls of the admin API from the command line."""
+
+import os
+from json import loads
+from typing import Any
+
+import attrs
+import trio
+
+from geraniumhall_net.client import (
+    ClientPool,
+    ConnectFailedError,
+    ExchangeFailedError,
+    build_json_request,
+    request_whole,
+)
+from geraniumhall_wire.caller import Header
+
+TIMEOUT_SECONDS = 15.0
+TOKEN_VARIABLE = "GERANIUMHALL_TOKEN"
+ADDRESS_VARIABLE = "GERANIUMHALL_ADMIN"
+DEFAULT_ADDRESS = "127.0.0.1:8081"
+
+
+@attrs.frozen
+class AdminResponse:
+    """Status and JSON value of an answer; `version` is that of its ETag."""
+
+    status: int
+    data: Any
+    version: int | None
+
+
+class UnreachableError(ConnectionError):
+    """Raised when the admin API gave no whole answer."""
+
+
+def call_admin(
+    address: str,
+    method: str,
+    target: str,
+    data: Any = None,
+    condition: int | None = None,
+) -> AdminResponse:
+    """Make one call; `condition` is the version an edit depends on."""
+    return trio.run(_call, address, method, target, data, condition)
+
+
+async def _call(
+    address: str, method: str, target: str, data: Any, condition: int | None
+) -> AdminResponse:
+    request = build_json_request(method, target, data)
+    headers = (*request.headers, *_build_headers(condition))
+    request = attrs.evolve(request, headers=headers)
+    pool = ClientPool()
+    try:
+        response = await request_whole(pool, address, request, TIMEOUT_SECONDS)
+    except (ConnectFailedError, ExchangeFailedError) as error:
+        raise UnreachableError(str(error)) from error
+    finally:
+        await pool.close_idle()
+    tag = (response.head.find(b"etag") or b"").strip(b'"')
+    version = int(tag) if tag.isdigit() else None
+    return AdminResponse(response.head.status, loads(response.body), version)
+
+
+def _build_headers(condition: int | None) -> list[Header]:
+    headers: list[Header] = []
+    token = os.environ.get(TOKEN_VARIABLE)
+    if token:
+        headers.append((b"authorization", f"Bearer {token}".encode()))
+    if condition == 0:
+        headers.append((b"if-none-match", b"*"))
+    elif condition is not None:
+        headers.append((b"if-match", f'"{condition}"'.encode()))
+    return headers
--- /dev/null
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -0,0 +1,217 @@
+"""Commands of the operators' binary; each class is one group of them."""
+
+import sys
+from json import dumps
+from pathlib import Path
+from typing import Any
+
+import attrs
+import trio
+import yaml
+
+from geraniumhall_bench import steps
+from geraniumhall_bench.processes import ProcessFailedError
+from geraniumhall_bench.scenario import (
+    ExpectationError,
+    Scenario,
+    ScenarioError,
+    find_scenario,
+)
+from geraniumhall_cli.client import AdminResponse, call_admin
+from geraniumhall_cli.output import EXIT_REFUSED, EXIT_USAGE, fail, print_result
+from geraniumhall_wire.description import describe
+from geraniumhall_wire.settings import Settings, SettingsError
+
+CATALOGUE = "/admin/v1/catalogue"
+
+__all__ = ["Commands", "steps"]
+
+
+@attrs.define
+class Target:
+    """The daemon that commands are sent to, and how results are printed."""
+
+    admin: str
+    json: bool
+
+    def call(
+        self, method: str, target: str, data: Any = None, condition: int | None = None
+    ) -> AdminResponse:
+        """Make a call, or print why it was refused and exit."""
+        response = call_admin(self.admin, method, target, data, condition)
+        if response.status >= 300:
+            fail(response)
+        return response
+
+
+@attrs.define
+class CatalogueCommands:
+    """Read and edit catalogue records: entry, workspace, server, key."""
+
+    _target: Target
+
+    def list(self, kind: str) -> None:
+        """List the records of one kind."""
+        data = self._target.call("GET", f"{CATALOGUE}/{kind}").data
+        rows = [
+            {"name": item["name"], "version": item["version"], **item["record"]}
+            for item in data["records"]
+        ]
+        print_result(rows, self._target.json)
+
+    def get(self, kind: str, name: str) -> None:
+        """Print one record."""
+        data = self._target.call("GET", f"{CATALOGUE}/{kind}/{name}").data
+        print_result(data, self._target.json)
+
+    def put(self, kind: str, name: str, file: str, version: int = 0) -> None:
+        """Write a record from a YAML file; VERSION is what it must be at now.
+
+        Example: geraniumhall catalogue put workspace audit audit.yaml --version 7
+        """
+        record = yaml.safe_load(_read_file(file))
+        path = f"{CATALOGUE}/{kind}/{name}"
+        response = self._target.call("PUT", path, record, version)
+        print_result(response.data, self._target.json)
+
+    def edit(self, kind: str, name: str, **fields: Any) -> None:
+        """Change fields of a record, as it is now.
+
+        Example: geraniumhall catalogue edit workspace audit --rate 50
+        """
+        if not fields:
+            print("edit: name at least one field, as in --rate 50", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        path = f"{CATALOGUE}/{kind}/{name}"
+        found = self._target.call("GET", path)
+        changed = {name: _as_plain(value) for name, value in fields.items()}
+        record = {**found.data["record"], **changed}
+        response = self._target.call("PUT", path, record, found.version)
+        print_result(response.data, self._target.json)
+
+    def delete(self, kind: str, name: str, version: int | None = None) -> None:
+        """Delete a record, at VERSION or as it is now."""
+        path = f"{CATALOGUE}/{kind}/{name}"
+        if version is None:
+            version = self._target.call("GET", path).version
+        response = self._target.call("DELETE", path, None, version)
+        print_result(response.data, self._target.json)
+
+
+@attrs.define
+class KeyCommands:
+    """Issue and withdraw callers' keys."""
+
+    _target: Target
+
+    def issue(self, workspace: str) -> None:
+        """Issue a key; it is shown this once."""
+        data = {"workspace": workspace}
+        response = self._target.call("POST", "/admin/v1/keys", data)
+        print_result(response.data, self._target.json)
+
+    def withdraw(self, key_id: str) -> None:
+        """Withdraw a key by its id."""
+        CatalogueCommands(self._target).delete("key", str(key_id))
+
+    def list(self) -> None:
+        """List key ids and workspaces."""
+        CatalogueCommands(self._target).list("key")
+
+
+@attrs.define
+class SettingsCommands:
+    """Work on settings files, without a daemon."""
+
+    _target: Target
+
+    def check(self, file: str) -> None:
+        """Check a daemon's settings file and print what it comes to."""
+        try:
+            settings = Settings.from_file(file)
+        except SettingsError as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_REFUSED)
+        print_result(describe(settings), self._target.json)
+
+
+@attrs.define
+class ScenarioCommands:
+    """Run scenarios of the test language against real processes."""
+
+    _target: Target
+
+    def run(self, name: str) -> None:
+        """Run a shipped scenario by name, or a file."""
+        try:
+            scenario = Scenario.from_file(find_scenario(name))
+            trio.run(scenario.run)
+        except (ScenarioError, ExpectationError, ProcessFailedError) as error:
+            print(error, file=sys.stderr)
+            sys.exit(EXIT_REFUSED)
+        print(f"{scenario.name}: {len(scenario.steps)} steps passed")
+
+
+@attrs.define
+class Commands:
+    """Operate geraniumhall daemons.
+
+    --admin is the address of a daemon's admin listener (or set
+    GERANIUMHALL_ADMIN); --json prints JSON. Exit codes: 0 done, 1 refused,
+    2 wrong usage, 3 lost a race, 4 daemon not reached.
+    """
+
+    catalogue: CatalogueCommands
+    key: KeyCommands
+    settings: SettingsCommands
+    scenario: ScenarioCommands
+    _target: Target
+
+    @classmethod
+    def from_options(cls, admin: str, json: bool) -> "Commands":
+        """Return the commands for one daemon."""
+        target = Target(admin, json)
+        return cls(
+            CatalogueCommands(target),
+            KeyCommands(target),
+            SettingsCommands(target),
+            ScenarioCommands(target),
+            target,
+        )
+
+    def status(self) -> None:
+        """Print a summary of the daemon."""
+        self._print("GET", "/admin/v1/status")
+
+    def hosts(self) -> None:
+        """List the platform's hosts."""
+        data = self._target.call("GET", "/admin/v1/hosts").data
+        print_result(data["hosts"], self._target.json)
+
+    def servers(self) -> None:
+        """List backend servers as the daemon sees them."""
+        data = self._target.call("GET", "/admin/v1/servers").data
+        print_result(data["servers"], self._target.json)
+
+    def dump(self) -> None:
+        """Print the daemon's whole state as JSON."""
+        print(dumps(self._target.call("GET", "/admin/v1/dump").data, indent=2))
+
+    def drain(self) -> None:
+        """Begin a planned stop of the daemon."""
+        self._print("POST", "/admin/v1/drain")
+
+    def _print(self, method: str, path: str) -> None:
+        print_result(self._target.call(method, path).data, self._target.json)
+
+
+def _read_file(file: str) -> str:
+    try:
+        return sys.stdin.read() if file == "-" else Path(file).read_text()
+    except OSError as error:
+        print(f"{file}: {error.strerror}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def _as_plain(value: Any) -> Any:
+    return list(value) if isinstance(value, tuple) else value
--- /dev/null
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/main.py
@@ -0,0 +1,37 @@
+"""The binary geraniumhall: the operators' command line."""
+
+import os
+import sys
+
+from fire import Fire
+
+from geraniumhall_cli.client import (
+    ADDRESS_VARIABLE,
+    DEFAULT_ADDRESS,
+    UnreachableError,
+)
+from geraniumhall_cli.commands import Commands
+from geraniumhall_cli.output import EXIT_UNREACHABLE, EXIT_USAGE
+
+
+def main() -> None:
+    """Run the binary."""
+    arguments, admin, as_json = _split_options(sys.argv[1:])
+    try:
+        Fire(Commands.from_options(admin, as_json), arguments, name="geraniumhall")
+    except UnreachableError as error:
+        print(f"unreachable: {error}", file=sys.stderr)
+        sys.exit(EXIT_UNREACHABLE)
+
+
+def _split_options(arguments: list[str]) -> tuple[list[str], str, bool]:
+    admin = os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS)
+    rest = [item for item in arguments if item != "--json"]
+    if "--admin" in rest:
+        place = rest.index("--admin")
+        if place + 1 == len(rest):
+            print("--admin needs an address such as 127.0.0.1:8081", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        admin = rest[place + 1]
+        del rest[place : place + 2]
+    return rest, admin, "--json" in arguments
--- /dev/null
+++ b/packages/geraniumhall-core/tests/builders.py
@@ -0,0 +1,152 @@
+"""Builders of states and events for tests of the reducer."""
+
+from typing import Any
+
+from geraniumhall_core.catalogue import (
+    BackendServer,
+    CatalogueEntry,
+    EntryLimits,
+    ServiceClass,
+    Workspace,
+)
+from geraniumhall_core.events import AttemptEnded, PlatformAnswered, RequestArrived
+from geraniumhall_core.handlers import REDUCER
+from geraniumhall_core.keys import KeyRecord, Proof, parse_key
+from geraniumhall_core.platform import Listing
+from geraniumhall_core.policy import Policy
+from geraniumhall_core.purposes import SyncCatalogue
+from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.reducer import Effect, Event
+from geraniumhall_core.requests import (
+    AttemptOutcome,
+    CallerRequest,
+    ModelTarget,
+    PathTarget,
+)
+from geraniumhall_core.state import DaemonState
+from geraniumhall_core.verdict import Verdict
+
+SECRET = "s" * 40
+DRAWS = (0.25, 0.75)
+LISTED_AT = 1.0
+NOW = 2.0
+
+
+def build_records(**changes: Any) -> dict[ObjectKey, Any]:
+    """Return a small catalogue: a model entry, a service entry, two servers."""
+    limits = changes.get("limits", EntryLimits())
+    return {
+        ObjectKey("workspace", "audit"): Workspace(
+            rate=changes.get("rate", 1e6),
+            burst=changes.get("burst", 1e6),
+            hosts=changes.get("hosts", ("h1",)),
+        ),
+        ObjectKey("workspace", "other"): Workspace(rate=1e6, burst=1e6, hosts=("h1",)),
+        ObjectKey("entry", "draft"): CatalogueEntry(
+            owner="audit",
+            service_class=ServiceClass.MODEL,
+            repeatable=True,
+            limits=limits,
+        ),
+        ObjectKey("entry", "filing"): CatalogueEntry(
+            owner="audit", service_class=ServiceClass.SERVICE, path="/filings"
+        ),
+        ObjectKey("entry", "open"): CatalogueEntry(
+            owner="audit", service_class=ServiceClass.MODEL, open_to_all=True
+        ),
+        ObjectKey("key", "k1"): KeyRecord.from_secret("audit", "salt", SECRET),
+        ObjectKey("key", "k2"): KeyRecord.from_secret("other", "salt", SECRET),
+        ObjectKey("server", "e1"): build_server("draft", "open"),
+        ObjectKey("server", "e2"): build_server("draft", "open"),
+        ObjectKey("server", "s1"): build_server("filing"),
+    }
+
+
+def build_server(*entries: str, **changes: Any) -> BackendServer:
+    """Return a backend server of some entries."""
+    return BackendServer(
+        address="10.0.0.1:80", failure_domain="a", entries=entries, **changes
+    )
+
+
+def build_listing(records: dict[ObjectKey, Any], revision: int = 100) -> Listing:
+    """Return a listing of records, each with a version of its own."""
+    objects = [
+        VersionedRecord(key, version, record)
+        for version, (key, record) in enumerate(records.items(), 1)
+    ]
+    return Listing(revision, tuple(objects))
+
+
+def build_state(**changes: Any) -> DaemonState:
+    """Return the state of host h1 with the small catalogue applied."""
+    policy = Policy(
+        host="h1",
+        failure_domain="a",
+        incarnation="i1",
+        **changes.pop("policy", {}),
+    )
+    state = DaemonState.from_policy(policy)
+    listing = build_listing(build_records(**changes))
+    reduce(state, build_answer(SyncCatalogue(), listing, at=LISTED_AT))
+    return state
+
+
+def build_answer(purpose: Any, answer: Any, at: float = NOW) -> PlatformAnswered:
+    """Return the event of a platform's answer."""
+    return PlatformAnswered(
+        at=at, asked_at=at, purpose=purpose, answer=answer, draws=DRAWS
+    )
+
+
+def build_proof(key_id: str = "k1", secret: str = SECRET) -> Proof:
+    """Return the proof of a key."""
+    proof = parse_key(f"gh_{key_id}_{secret}")
+    assert proof is not None
+    return proof
+
+
+def build_arrival(
+    request_id: str = "r1",
+    target: ModelTarget | PathTarget | str = "draft",
+    at: float = NOW,
+    **fields: Any,
+) -> RequestArrived:
+    """Return the event of a request; a text as target is a model's name."""
+    if isinstance(target, str):
+        target = ModelTarget(target)
+    fields.setdefault("proof", build_proof())
+    request = CallerRequest(request_id=request_id, target=target, **fields)
+    return RequestArrived(at=at, request=request, draws=DRAWS)
+
+
+def build_end(
+    effect: Any,
+    outcome: AttemptOutcome,
+    verdict: Verdict = Verdict.MAY_HAVE_RUN,
+    at: float = NOW,
+    **fields: Any,
+) -> AttemptEnded:
+    """Return the event that ends the attempt of a `RelayRequest`."""
+    return AttemptEnded(
+        at=at,
+        request_id=effect.request_id,
+        attempt_id=effect.attempt_id,
+        outcome=outcome,
+        verdict=verdict,
+        wall_time=at,
+        draws=DRAWS,
+        **fields,
+    )
+
+
+def reduce(state: DaemonState, event: Event) -> tuple[Effect, ...]:
+    """Apply one event."""
+    return REDUCER.reduce(state, event)
+
+
+def find_effect(effects: tuple[Effect, ...], kind: type) -> Any:
+    """Return the one effect of a type."""
+    found = [effect for effect in effects if isinstance(effect, kind)]
+    assert len(found) == 1, effects
+    return found[0]
--- /dev/null
+++ b/packages/geraniumhall-core/tests/test_admission.py
@@ -0,0 +1,155 @@
+"""Tests of admission: who may run what, and what a refusal says."""
+
+import unittest
+
+from builders import (
+    build_answer,
+    build_arrival,
+    build_proof,
+    build_state,
+    find_effect,
+    reduce,
+)
+
+from geraniumhall_core.catalogue import EntryLimits
+from geraniumhall_core.effects import CloseExchange, RefuseRequest, RelayRequest
+from geraniumhall_core.events import CallerLeft, Ticked
+from geraniumhall_core.platform import Changes
+from geraniumhall_core.purposes import SyncCatalogue
+from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
+from geraniumhall_core.refusals import Refusal
+from geraniumhall_core.requests import PathTarget
+from geraniumhall_core.state import DaemonState
+from geraniumhall_core.verdict import Verdict
+
+
+def refuse(state: DaemonState, **fields: object) -> Refusal:
+    """Return the refusal that a request gets."""
+    effects = reduce(state, build_arrival(**fields))
+    return find_effect(effects, RefuseRequest).refusal
+
+
+class KeyCheckTest(unittest.TestCase):
+    """A request runs only for the workspace whose key came with it."""
+
+    def test_valid_key_is_admitted(self) -> None:
+        """A valid key gets an attempt on a backend server."""
+        effects = reduce(build_state(), build_arrival())
+        self.assertIn(find_effect(effects, RelayRequest).server, ("e1", "e2"))
+
+    def test_missing_key_is_refused(self) -> None:
+        """No key means no run."""
+        self.assertEqual(refuse(build_state(), proof=None).code, "key_missing")
+
+    def test_wrong_secret_is_refused(self) -> None:
+        """A known id with a wrong secret is no key."""
+        wrong = build_proof(secret="x" * 40)
+        self.assertEqual(refuse(build_state(), proof=wrong).code, "key_unknown")
+
+    def test_unknown_id_is_refused(self) -> None:
+        """An unknown id is no key."""
+        unknown = build_proof(key_id="k9")
+        self.assertEqual(refuse(build_state(), proof=unknown).code, "key_unknown")
+
+    def test_other_workspace_is_refused(self) -> None:
+        """A key of another workspace does not open the entry."""
+        other = build_proof(key_id="k2")
+        self.assertEqual(refuse(build_state(), proof=other).code, "not_permitted")
+
+    def test_open_entry_needs_no_key(self) -> None:
+        """An entry that is open to all takes a request without a key."""
+        effects = reduce(build_state(), build_arrival(target="open", proof=None))
+        find_effect(effects, RelayRequest)
+
+    def test_withdrawn_key_is_refused(self) -> None:
+        """A key is refused from the moment its deletion is applied."""
+        state = build_state()
+        gone = VersionedRecord(ObjectKey("key", "k1"), 101, DELETED)
+        reduce(state, build_answer(SyncCatalogue(), Changes(101, (gone,))))
+        self.assertEqual(refuse(state).code, "key_unknown")
+
+    def test_stale_catalogue_refuses_keys(self) -> None:
+        """A host that can't confirm its catalogue trusts no key."""
+        self.assertEqual(refuse(build_state(), at=6.1).code, "catalogue_stale")
+
+    def test_fresh_catalogue_within_bound(self) -> None:
+        """Within the bound of five seconds keys are trusted."""
+        effects = reduce(build_state(), build_arrival(at=5.9))
+        find_effect(effects, RelayRequest)
+
+    def test_every_refusal_says_not_run(self) -> None:
+        """A refusal at admission always says that nothing ran."""
+        for fields in ({"proof": None}, {"target": "nope"}, {"at": 99.0}):
+            with self.subTest(fields=fields):
+                verdict = refuse(build_state(), **fields).verdict
+                self.assertIs(verdict, Verdict.NOT_RUN)
+
+
+class TargetTest(unittest.TestCase):
+    """Requests find their entry by model or path."""
+
+    def test_unknown_model(self) -> None:
+        """A model that no entry has is refused."""
+        self.assertEqual(refuse(build_state(), target="nope").code, "unknown_model")
+
+    def test_unknown_path(self) -> None:
+        """A path under no entry is refused."""
+        refusal = refuse(build_state(), target=PathTarget("/filingsx"))
+        self.assertEqual(refusal.code, "unknown_route")
+
+    def test_path_below_entry(self) -> None:
+        """A path below an entry's path belongs to it."""
+        target = PathTarget("/filings/2026/7")
+        effects = reduce(build_state(), build_arrival(target=target))
+        self.assertEqual(find_effect(effects, RelayRequest).server, "s1")
+
+
+class RateTest(unittest.TestCase):
+    """A workspace gets its share of rate and burst on this host."""
+
+    def test_share_is_an_equal_part(self) -> None:
+        """Two hosts get half of rate and burst each."""
+        state = build_state(rate=10.0, burst=4.0, hosts=("h1", "h2"))
+        bucket = state.buckets["audit"]
+        self.assertEqual((bucket.rate, bucket.burst), (5.0, 2.0))
+
+    def test_over_rate_names_the_wait(self) -> None:
+        """A refusal over the rate says when to retry."""
+        state = build_state(rate=0.5, burst=2.0)
+        self.assertEqual(refuse(state, at=2.0).retry_after, 1.0)
+
+    def test_host_without_share_refuses(self) -> None:
+        """A host that holds no share runs nothing for the workspace."""
+        self.assertEqual(refuse(build_state(hosts=("h2",))).code, "rate_exceeded")
+
+
+class QueueTest(unittest.TestCase):
+    """Queues are bounded, and waiting requests can leave."""
+
+    def build_busy_state(self) -> DaemonState:
+        """Return a state with one request running and one waiting."""
+        state = build_state(limits=EntryLimits(max_running=1, max_queued=1, deadline=9))
+        reduce(state, build_arrival("r1"))
+        reduce(state, build_arrival("r2"))
+        return state
+
+    def test_full_queue_refuses(self) -> None:
+        """A request beyond the queue's bound is refused."""
+        state = self.build_busy_state()
+        self.assertEqual(refuse(state, request_id="r3").code, "overloaded")
+
+    def test_waiting_request_expires(self) -> None:
+        """A waiting request is refused at its deadline, as not run."""
+        state = self.build_busy_state()
+        effects = reduce(state, Ticked(at=11.5, draws=(0.0, 0.0)))
+        refusal = find_effect(effects, RefuseRequest).refusal
+        self.assertEqual(
+            (refusal.code, refusal.verdict), ("deadline_exceeded", Verdict.NOT_RUN)
+        )
+
+    def test_caller_that_left_is_forgotten(self) -> None:
+        """A waiting request whose caller left is dropped."""
+        state = self.build_busy_state()
+        effects = reduce(state, CallerLeft(at=3.0, request_id="r2"))
+        find_effect(effects, CloseExchange)
+        self.assertEqual(state.find_queue("draft").waiting_count, 0)
--- /dev/null
+++ b/packages/geraniumhall-core/tests/test_attempts.py
@@ -0,0 +1,119 @@
+"""Tests of attempts: retries, verdicts and usage."""
+
+import unittest
+
+from builders import (
+    build_arrival,
+    build_end,
+    build_state,
+    find_effect,
+    reduce,
+)
+
+from geraniumhall_core.effects import (
+    AbortResponse,
+    CloseExchange,
+    RefuseRequest,
+    RelayRequest,
+)
+from geraniumhall_core.events import ResponseStarted
+from geraniumhall_core.requests import AttemptOutcome, PathTarget
+from geraniumhall_core.usage import UsageFigures, UsageKey
+from geraniumhall_core.verdict import Verdict
+
+FILING = PathTarget("/filings")
+
+
+class RetryTest(unittest.TestCase):
+    """Only what is safe to repeat is repeated."""
+
+    def test_failed_connection_moves_on(self) -> None:
+        """A server that can't be reached is not tried twice."""
+        state = build_state()
+        first = find_effect(reduce(state, build_arrival()), RelayRequest)
+        end = build_end(first, AttemptOutcome.CONNECT_FAILED, Verdict.NOT_RUN)
+        second = find_effect(reduce(state, end), RelayRequest)
+        self.assertNotEqual(first.server, second.server)
+
+    def test_attempts_have_distinct_ids(self) -> None:
+        """Each attempt has an id of its own."""
+        state = build_state()
+        first = find_effect(reduce(state, build_arrival()), RelayRequest)
+        end = build_end(first, AttemptOutcome.BROKEN)
+        second = find_effect(reduce(state, end), RelayRequest)
+        self.assertNotEqual(first.attempt_id, second.attempt_id)
+
+    def test_unrepeatable_call_is_not_sent_twice(self) -> None:
+        """A call that may not be repeated ends when it may have run."""
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival(target=FILING)), RelayRequest)
+        effects = reduce(state, build_end(relay, AttemptOutcome.BROKEN))
+        refusal = find_effect(effects, RefuseRequest).refusal
+        self.assertIs(refusal.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_unrepeatable_call_uses_a_new_connection(self) -> None:
+        """An idle connection could hide whether the call was sent."""
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival(target=FILING)), RelayRequest)
+        self.assertFalse(relay.reuse)
+
+    def test_no_retry_after_the_answer_began(self) -> None:
+        """Once the caller has the head, a failure is told and not hidden."""
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        started = ResponseStarted(
+            at=2.0, request_id=relay.request_id, attempt_id=relay.attempt_id
+        )
+        reduce(state, started)
+        effects = reduce(state, build_end(relay, AttemptOutcome.BROKEN))
+        find_effect(effects, AbortResponse)
+
+    def test_retries_are_bounded_by_the_budget(self) -> None:
+        """An empty retry budget ends the request."""
+        state = build_state()
+        state.retry_budget.balance = 0.5
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        effects = reduce(state, build_end(relay, AttemptOutcome.BROKEN))
+        find_effect(effects, RefuseRequest)
+
+    def test_event_of_an_old_attempt_is_ignored(self) -> None:
+        """A late end of an earlier attempt changes nothing."""
+        state = build_state()
+        first = find_effect(reduce(state, build_arrival()), RelayRequest)
+        reduce(state, build_end(first, AttemptOutcome.BROKEN))
+        self.assertEqual(reduce(state, build_end(first, AttemptOutcome.BROKEN)), ())
+
+
+class ConclusionTest(unittest.TestCase):
+    """A whole answer ends the request and is counted once."""
+
+    def test_usage_is_counted_for_the_workspace(self) -> None:
+        """Reported tokens go to the workspace's current window."""
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        end = build_end(
+            relay,
+            AttemptOutcome.COMPLETED,
+            Verdict.RAN,
+            prompt_tokens=7,
+            generated_tokens=9,
+        )
+        find_effect(reduce(state, end), CloseExchange)
+        key = UsageKey(0, "audit", "draft")
+        self.assertEqual(state.usage.figures, {key: UsageFigures(1, 7, 9)})
+
+    def test_no_state_is_left(self) -> None:
+        """After the end nothing of the request remains."""
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        reduce(state, build_end(relay, AttemptOutcome.COMPLETED, Verdict.RAN))
+        running = state.find_queue("draft").running
+        outstanding = state.find_load(relay.server).outstanding
+        self.assertEqual((state.requests, running, outstanding), ({}, 0, 0))
+
+    def test_failing_server_is_suspended(self) -> None:
+        """A server that failed is passed over for a while."""
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        reduce(state, build_end(relay, AttemptOutcome.BROKEN))
+        self.assertFalse(state.find_load(relay.server).is_usable(2.1))
--- /dev/null
+++ b/packages/geraniumhall-core/tests/test_routing.py
@@ -0,0 +1,53 @@
+"""Tests of routing policies."""
+
+import unittest
+from collections import Counter
+
+from geraniumhall_core.routing import ROUTING_POLICIES, RoutingQuery, ServerView
+
+SERVERS = [ServerView(f"e{n}", 0) for n in range(8)]
+
+
+def build_query(prefix: int = 0, turn: int = 0) -> RoutingQuery:
+    """Return a query with fixed draws."""
+    return RoutingQuery(prefix=prefix, turn=turn, draw=0.3, second_draw=0.8)
+
+
+class PolicyTest(unittest.TestCase):
+    """Each policy keeps its own promise."""
+
+    def test_every_policy_takes_the_only_server(self) -> None:
+        """With one server there is one choice."""
+        for name in ROUTING_POLICIES:
+            with self.subTest(policy=name):
+                policy = ROUTING_POLICIES.find(name)
+                only = [ServerView("e1", 50)]
+                self.assertEqual(policy(only, build_query(7)).name, "e1")
+
+    def test_prefix_keeps_its_server(self) -> None:
+        """Equal prefixes go to one server while loads are equal."""
+        policy = ROUTING_POLICIES.find("prefix_affinity")
+        names = {policy(SERVERS, build_query(42, turn)).name for turn in range(9)}
+        self.assertEqual(len(names), 1)
+
+    def test_prefix_moves_when_its_server_is_overloaded(self) -> None:
+        """A server far over the mean load is passed over."""
+        policy = ROUTING_POLICIES.find("prefix_affinity")
+        home = policy(SERVERS, build_query(42)).name
+        loaded = [ServerView(s.name, 50 if s.name == home else 1) for s in SERVERS]
+        self.assertNotEqual(policy(loaded, build_query(42)).name, home)
+
+    def test_prefix_changes_little_when_a_server_leaves(self) -> None:
+        """Only the prefixes of the server that left move."""
+        policy = ROUTING_POLICIES.find("prefix_affinity")
+        for prefix in range(1, 200):
+            before = policy(SERVERS, build_query(prefix)).name
+            after = policy(SERVERS[:-1], build_query(prefix)).name
+            if before != SERVERS[-1].name:
+                self.assertEqual(before, after)
+
+    def test_round_robin_is_even(self) -> None:
+        """Turns go round."""
+        policy = ROUTING_POLICIES.find("round_robin")
+        chosen = (policy(SERVERS, build_query(turn=t)).name for t in range(16))
+        self.assertEqual(set(Counter(chosen).values()), {2})
--- /dev/null
+++ b/packages/geraniumhall-daemon/tests/test_relays.py
@@ -0,0 +1,176 @@
+"""Tests of relays under faults of backend servers and callers."""
+
+import unittest
+from json import loads
+
+import trio
+from session import Session, build_chat, build_post, run_session
+
+from geraniumhall_bench.standins.model import FaultPlan
+from geraniumhall_net.client import ExchangeFailedError, ResponseHead
+
+ENGINES = ("10.0.0.1:80", "10.0.0.2:80")
+SERVICE = "10.0.0.3:80"
+WHOLE_TEXT = "t0 t1 t2 "
+SUSPENSION_SECONDS = 30.0
+
+
+def read_text(body: bytes) -> str:
+    """Return the text of a whole chat answer."""
+    return loads(body)["choices"][0]["message"]["content"]
+
+
+def read_stream_text(body: bytes) -> str:
+    """Return the text of a streamed chat answer."""
+    lines = [loads(x[6:]) for x in body.split(b"\n") if x.startswith(b"data: {")]
+    choices = [choice for line in lines for choice in line["choices"]]
+    return "".join(choice["delta"]["content"] for choice in choices)
+
+
+class RepeatableCallTest(unittest.TestCase):
+    """A repeatable call ends in one whole answer if any server can give it."""
+
+    def call_with_one_fault(
+        self, fault: FaultPlan, stream: bool = False
+    ) -> list[tuple[ResponseHead, bytes]]:
+        """Call twice, with the fault at one engine and then at the other."""
+        answers: list[tuple[ResponseHead, bytes]] = []
+
+        async def test(session: Session) -> None:
+            for faulty, healthy in (ENGINES, reversed(ENGINES)):
+                session.plan(faulty, fault)
+                session.plan(healthy)
+                answers.append(await session.call(build_chat(stream=stream)))
+                await trio.sleep(SUSPENSION_SECONDS)
+
+        session = run_session(test)
+        calls = sum(session.count_calls(address) for address in ENGINES)
+        self.assertEqual(calls, 3, "one of the two calls meets the fault")
+        return answers
+
+    def test_faults_before_the_answer_are_hidden(self) -> None:
+        """Another server gives the whole answer."""
+        for name in ("down", "lose_reply", "crossed", "silent"):
+            with self.subTest(fault=name):
+                for head, body in self.call_with_one_fault(FaultPlan(name=name)):
+                    self.assertEqual((head.status, read_text(body)), (200, WHOLE_TEXT))
+
+    def test_stream_faults_before_the_answer_are_hidden(self) -> None:
+        """A stream that has not begun may start over elsewhere."""
+        for name in ("down", "lose_reply", "crossed", "silent"):
+            with self.subTest(fault=name):
+                fault = FaultPlan(name=name)
+                for head, body in self.call_with_one_fault(fault, stream=True):
+                    found = (head.status, read_stream_text(body))
+                    self.assertEqual(found, (200, WHOLE_TEXT))
+
+    def test_unreachable_servers(self) -> None:
+        """With no server to reach the refusal says that nothing ran."""
+
+        async def test(session: Session) -> None:
+            session.unreachable.update(ENGINES)
+            self.head, self.body = await session.call(build_chat())
+
+        run_session(test)
+        error = loads(self.body)["error"]
+        found = (self.head.status, error["code"], error["verdict"])
+        self.assertEqual(found, (503, "no_backend_server", "not_run"))
+
+
+class BrokenStreamTest(unittest.TestCase):
+    """A stream that breaks after it began ends visibly."""
+
+    def call_broken(self, fault: FaultPlan) -> tuple[bytes, bool]:
+        """Return what the caller got, and whether it was cut."""
+        received = bytearray()
+        cut: list[bool] = []
+
+        async def test(session: Session) -> None:
+            for address in ENGINES:
+                session.plan(address, fault)
+            caller = session.open_caller()
+            await caller.send_request(build_chat(stream=True))
+            await caller.read_head()
+            try:
+                while (chunk := await caller.read_chunk()) is not None:
+                    received.extend(chunk)
+            except ExchangeFailedError:
+                cut.append(True)
+
+        run_session(test)
+        return bytes(received), bool(cut)
+
+    def test_cut_streams_end_in_an_error(self) -> None:
+        """The caller sees an error event and no end of the answer."""
+        for name in ("crash", "stall", "unfinished"):
+            with self.subTest(fault=name):
+                body, cut = self.call_broken(FaultPlan(name=name, amount=2))
+                self.assertTrue(cut)
+                self.assertIn(b'"verdict": "may_have_run"', body)
+
+
+class UnrepeatableCallTest(unittest.TestCase):
+    """A call that may not be repeated is sent at most once."""
+
+    def test_faults_after_sending(self) -> None:
+        """Whatever happens after sending, the service sees one call."""
+        for name in ("lose_reply", "crossed", "silent"):
+            with self.subTest(fault=name):
+                session = self.call_filing(FaultPlan(name=name))
+                self.assertEqual(session.count_calls(SERVICE), 1)
+                self.assertEqual(self.error["verdict"], "may_have_run")
+
+    def test_unreachable_service_is_not_run(self) -> None:
+        """A connection that was never made proves that nothing ran."""
+        session = self.call_filing(FaultPlan(name="slow"), unreachable=True)
+        self.assertEqual(session.count_calls(SERVICE), 0)
+        self.assertEqual(self.error["verdict"], "not_run")
+
+    def call_filing(self, fault: FaultPlan, unreachable: bool = False) -> Session:
+        """File a report while the service shows a fault."""
+
+        async def test(session: Session) -> None:
+            session.plan(SERVICE, fault)
+            if unreachable:
+                session.unreachable.add(SERVICE)
+            _, body = await session.call(build_post("/filings", b"report"))
+            self.error = loads(body)["error"]
+
+        return run_session(test)
+
+
+class CallerTest(unittest.TestCase):
+    """Callers may leave, and one connection carries many requests."""
+
+    def test_caller_that_leaves_frees_its_place(self) -> None:
+        """Nothing of the request is left, and its connection is not reused."""
+
+        async def test(session: Session) -> None:
+            for address in ENGINES:
+                session.plan(address, FaultPlan(name="silent"))
+            caller = session.open_caller()
+            await caller.send_request(build_chat())
+            await trio.testing.wait_all_tasks_blocked()
+            await caller.close()
+            await trio.sleep(0.1)
+            assert session.daemon is not None
+            self.state = session.daemon.state
+
+        run_session(test)
+        self.assertEqual(self.state.requests, {})
+        self.assertEqual(self.state.counters["requests.abandoned"], 1)
+
+    def test_one_connection_many_requests(self) -> None:
+        """Requests on one connection get their own answers in order."""
+        texts = []
+
+        async def test(session: Session) -> None:
+            caller = session.open_caller()
+            for count in (1, 2, 3):
+                await caller.send_request(build_chat(max_tokens=count))
+                await caller.read_head()
+                texts.append(read_text(await caller.read_body()))
+                self.assertTrue(caller.start_next_cycle())
+
+        run_session(test)
+        self.assertEqual(texts, ["t0 ", "t0 t1 ", "t0 t1 t2 "])
--- /dev/null
+++ b/packages/geraniumhall-net/tests/test_client.py
@@ -0,0 +1,106 @@
+"""Tests of the client side of HTTP connections."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from geraniumhall_net.client import (
+    ClientPool,
+    ConnectFailedError,
+    ExchangeFailedError,
+    request_whole,
+)
+from geraniumhall_wire.caller import UpstreamRequest
+
+REQUEST = UpstreamRequest(b"GET", b"/", (), b"")
+ADDRESS = "10.0.0.1:80"
+
+
+class ScriptedServer:
+    """Answers each connection with given bytes."""
+
+    def __init__(self, *answers: bytes, close: bool = False) -> None:
+        self.answers = list(answers)
+        self.close = close
+        self.connections = 0
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a connection whose answer is ready."""
+        self.connections += 1
+        near, far = trio.testing.memory_stream_pair()
+        if self.answers:
+            await far.send_all(self.answers.pop(0))
+        if self.close:
+            await far.send_stream.aclose()
+        return near
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test in virtual time."""
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class RequestTest(unittest.TestCase):
+    """An exchange gives a whole answer or an error."""
+
+    def request(self, server: ScriptedServer, count: int = 1) -> list[bytes]:
+        """Return the bodies of some exchanges through one pool."""
+        bodies: list[bytes] = []
+
+        async def test() -> None:
+            pool = ClientPool(connector=server.connect)
+            for _ in range(count):
+                response = await request_whole(pool, ADDRESS, REQUEST, 5.0)
+                bodies.append(response.body)
+
+        run(test)
+        return bodies
+
+    def test_whole_answer(self) -> None:
+        """The body is returned."""
+        server = ScriptedServer(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab")
+        self.assertEqual(self.request(server), [b"ab"])
+
+    def test_cut_answer(self) -> None:
+        """A body shorter than announced is no answer."""
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab"
+        with self.assertRaises(ExchangeFailedError):
+            self.request(ScriptedServer(answer, close=True))
+
+    def test_silent_server(self) -> None:
+        """A server that says nothing fails the exchange in time."""
+        with self.assertRaises(ExchangeFailedError):
+            self.request(ScriptedServer())
+
+    def test_malformed_answer(self) -> None:
+        """Bytes that are no HTTP fail the exchange."""
+        with self.assertRaises(ExchangeFailedError):
+            self.request(ScriptedServer(b"hello\r\n\r\n"))
+
+    def test_surplus_bytes_forbid_reuse(self) -> None:
+        """A connection with bytes of another answer is not used again."""
+        whole = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na"
+        server = ScriptedServer(whole + whole, whole)
+        self.request(server, count=2)
+        self.assertEqual(server.connections, 2)
+
+    def test_connection_that_the_server_closes(self) -> None:
+        """An answer that closes its connection is whole, and not reused."""
+        closing = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nabc"
+        server = ScriptedServer(closing, closing, close=True)
+        self.assertEqual(self.request(server, count=2), [b"abc", b"abc"])
+
+    def test_slow_connect(self) -> None:
+        """A connection that is not made in time was not made."""
+
+        async def hang(address: str) -> trio.abc.Stream:
+            await trio.sleep_forever()
+            raise AssertionError
+
+        async def test() -> None:
+            with self.assertRaises(ConnectFailedError):
+                await ClientPool(connector=hang).take(ADDRESS)
+
+        run(test)
--- /dev/null
+++ b/packages/geraniumhall-net/tests/test_server.py
@@ -0,0 +1,143 @@
+"""Tests of the server side of HTTP connections."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from geraniumhall_core.refusals import Refusal
+from geraniumhall_net.server import (
+    ReceivedRequest,
+    ServerConnection,
+    ServerLimits,
+    open_server_connection,
+)
+
+LIMITS = ServerLimits(max_head=512, max_body=64, read_timeout=5, idle_timeout=60)
+HEAD = b"POST /x HTTP/1.1\r\nhost: a\r\n"
+
+
+def receive(*pieces: bytes, close: bool = False) -> object:
+    """Return what a connection makes of pieces sent one after another."""
+
+    async def run() -> object:
+        near, far = trio.testing.memory_stream_pair()
+        async with open_server_connection(far, LIMITS) as connection:
+            for piece in pieces:
+                await near.send_all(piece)
+            if close:
+                await near.aclose()
+            return await connection.receive_request()
+
+    return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def run_pair(test: Callable[..., Awaitable[None]]) -> None:
+    """Run a test with a client's stream and a server connection."""
+
+    async def run() -> None:
+        near, far = trio.testing.memory_stream_pair()
+        async with open_server_connection(far, LIMITS) as connection:
+            await test(near, connection)
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class ReceiveTest(unittest.TestCase):
+    """Requests are received whole or refused with a reason."""
+
+    def test_whole_request(self) -> None:
+        """Head and body arrive in pieces."""
+        received = receive(HEAD[:9], HEAD[9:] + b"content-length: 3\r\n\r\na", b"bc")
+        assert isinstance(received, ReceivedRequest)
+        self.assertEqual((received.head.path, received.body), ("/x", b"abc"))
+
+    def test_faults(self) -> None:
+        """Each fault has its own refusal."""
+        chunk = b"transfer-encoding: chunked\r\n\r\n41\r\n" + b"x" * 65
+        cases = {
+            "malformed": (b"nonsense\r\n\r\n",),
+            "head_too_large": (HEAD + b"x: " + b"y" * 600 + b"\r\n",),
+            "body_too_large": (HEAD + b"content-length: 65\r\n\r\n",),
+            "request_timeout": (HEAD + b"content-length: 5\r\n\r\nab",),
+        }
+        for code, pieces in cases.items():
+            with self.subTest(code=code):
+                received = receive(*pieces)
+                assert isinstance(received, Refusal)
+                self.assertEqual(received.code, code)
+        chunked = receive(HEAD + chunk)
+        assert isinstance(chunked, Refusal)
+        self.assertEqual(chunked.code, "body_too_large")
+
+    def test_silent_peer(self) -> None:
+        """A peer that sends nothing is let go."""
+        self.assertIsNone(receive())
+
+    def test_peer_that_closes(self) -> None:
+        """A peer that closes ends the connection."""
+        self.assertIsNone(receive(close=True))
+
+    def test_expect_continue(self) -> None:
+        """A client that waits for leave to send gets it."""
+
+        async def test(near: trio.abc.Stream, connection: ServerConnection) -> None:
+            head = HEAD + b"content-length: 2\r\nexpect: 100-continue\r\n\r\n"
+            await near.send_all(head)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.receive_request)
+                answer = await near.receive_some(1000)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 100 "))
+                await near.send_all(b"ab")
+
+        run_pair(test)
+
+    @seed(20261204)
+    @settings(max_examples=150, deadline=None)
+    @given(st.lists(st.binary(min_size=1, max_size=60), max_size=4))
+    def test_any_bytes(self, pieces: list[bytes]) -> None:
+        """No bytes make the connection fail."""
+        received = receive(*pieces, close=True)
+        self.assertIsInstance(received, ReceivedRequest | Refusal | None)
+
+    @seed(20261204)
+    @settings(max_examples=150, deadline=None)
+    @given(st.binary(max_size=80))
+    def test_any_header_bytes(self, tail: bytes) -> None:
+        """No bytes after a good beginning make the connection fail."""
+        received = receive(HEAD + tail + b"\r\n\r\n", close=True)
+        self.assertIsInstance(received, ReceivedRequest | Refusal | None)
+
+
+class WatchTest(unittest.TestCase):
+    """A peer that goes away while its answer is prepared is noticed."""
+
+    def test_block_is_cancelled(self) -> None:
+        """The watched block ends when the peer closes."""
+
+        async def test(near: trio.abc.Stream, connection: ServerConnection) -> None:
+            with connection.watch_peer() as scope:
+                await near.aclose()
+                await trio.sleep(1000)
+            self.assertTrue(scope.cancelled_caught)
+
+        run_pair(test)
+
+    def test_pipelined_request_is_kept(self) -> None:
+        """A second request sent early is served after the first."""
+
+        async def test(near: trio.abc.Stream, connection: ServerConnection) -> None:
+            await near.send_all(HEAD + b"\r\n" + HEAD.replace(b"/x", b"/y") + b"\r\n")
+            paths = []
+            for _ in range(2):
+                received = await connection.receive_request()
+                assert isinstance(received, ReceivedRequest)
+                paths.append(received.head.path)
+                await connection.send_response(200, (), b"")
+                connection.start_next_cycle()
+            self.assertEqual(paths, ["/x", "/y"])
+
+        run_pair(test)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -172,7 +172,10 @@
     def from_text(cls, text: str, file: str = "<text>") -> "Settings":
         """Check YAML text, or raise `SettingsError` that names `file`."""
         try:
-            settings = structure(CONVERTER, yaml.safe_load(text), cls)
+            data = yaml.safe_load(text)
+            if not isinstance(data, dict):
+                raise SettingsError(file, (Fault("$", "expected a mapping"),))
+            settings = structure(CONVERTER, data, cls)
             settings.read_seed()
             return settings
         except yaml.YAMLError as error:
--- /dev/null
+++ b/packages/geraniumhall-wire/tests/test_caller.py
@@ -0,0 +1,191 @@
+"""Tests of the callers' front end."""
+
+import unittest
+from json import dumps, loads
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from geraniumhall_core.refusals import Refusal
+from geraniumhall_core.requests import ModelTarget, PathTarget
+from geraniumhall_wire.caller import KEY_HEADERS, ParsedCall, RequestHead, parse_call
+
+KEY = "gh_k1_" + "s" * 43
+CHAT = "/v1/chat/completions"
+MESSAGES = [{"role": "user", "content": "hello"}]
+
+
+def parse(
+    data: object = None,
+    path: str = CHAT,
+    headers: tuple = (),
+    method: bytes = b"POST",
+    body: bytes | None = None,
+) -> ParsedCall | Refusal:
+    """Parse a request with this JSON body."""
+    if body is None:
+        body = dumps(data).encode()
+    return parse_call("r1", RequestHead(method, path.encode(), headers), body)
+
+
+def refuse(*args: object, **kwargs: object) -> Refusal:
+    """Return the refusal of a faulty request."""
+    refusal = parse(*args, **kwargs)
+    assert isinstance(refusal, Refusal), refusal
+    return refusal
+
+
+def accept(*args: object, **kwargs: object) -> ParsedCall:
+    """Return the parsed form of a good request."""
+    call = parse(*args, **kwargs)
+    assert isinstance(call, ParsedCall), call
+    return call
+
+
+class CompletionTest(unittest.TestCase):
+    """Completions become typed requests."""
+
+    def test_chat_names_its_model(self) -> None:
+        """The model is the target."""
+        call = accept({"model": "draft", "messages": MESSAGES})
+        self.assertEqual(call.request.target, ModelTarget("draft"))
+
+    def test_text_completion(self) -> None:
+        """A text completion has a prompt instead of messages."""
+        call = accept({"model": "draft", "prompt": "x" * 40}, "/v1/completions")
+        self.assertEqual(call.request.prompt_tokens, 10)
+
+    def test_streams_are_asked_for_usage(self) -> None:
+        """A streamed request asks the engine to report its usage."""
+        call = accept({"model": "draft", "messages": MESSAGES, "stream": True})
+        options = loads(call.upstream.body)["stream_options"]
+        self.assertEqual(options, {"include_usage": True})
+
+    def test_whole_answers_keep_their_body(self) -> None:
+        """A request that is not streamed goes on byte for byte."""
+        body = b'{"model": "draft",  "messages": [{"role":"user"}]}'
+        self.assertEqual(accept(body=body).upstream.body, body)
+
+    def test_faults_name_their_field(self) -> None:
+        """A faulty body is refused with the path of the fault."""
+        cases = {
+            "$.model": {"messages": MESSAGES},
+            "$.messages": {"model": "draft"},
+            "$.messages[0]": {"model": "draft", "messages": ["x"]},
+            "$.stream": {"model": "draft", "messages": MESSAGES, "stream": 1},
+            "$.max_tokens": {"model": "draft", "messages": MESSAGES, "max_tokens": -1},
+            "$.stream_options": {
+                "model": "draft",
+                "messages": MESSAGES,
+                "stream_options": 1,
+            },
+        }
+        for path, data in cases.items():
+            with self.subTest(path=path):
+                self.assertTrue(refuse(data).reason.startswith(path + ":"))
+
+    def test_not_json(self) -> None:
+        """A body that is no JSON is malformed."""
+        self.assertEqual(refuse(body=b"{").code, "malformed")
+
+    def test_wrong_method(self) -> None:
+        """Completions take POST only."""
+        self.assertEqual(refuse({}, method=b"GET").code, "method_not_allowed")
+
+    def test_bad_deadline(self) -> None:
+        """A deadline must be a number of milliseconds."""
+        headers = ((b"x-request-timeout-ms", b"soon"),)
+        data = {"model": "draft", "messages": MESSAGES}
+        self.assertEqual(refuse(data, headers=headers).code, "malformed")
+
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None)
+    @given(st.binary(max_size=200), st.sampled_from([CHAT, "/v1/completions", "/x"]))
+    def test_any_bytes_are_answered(self, body: bytes, path: str) -> None:
+        """No body makes the parser fail."""
+        self.assertIsInstance(parse(body=body, path=path), ParsedCall | Refusal)
+
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from(
+                ["model", "messages", "stream", "max_tokens", "stream_options"]
+            ),
+            st.recursive(
+                st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+                lambda inner: (
+                    st.lists(inner, max_size=3)
+                    | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+                ),
+                max_leaves=6,
+            ),
+        )
+    )
+    def test_any_json_is_answered(self, data: dict) -> None:
+        """No JSON value makes the parser fail."""
+        self.assertIsInstance(parse(data), ParsedCall | Refusal)
+
+
+class KeyTest(unittest.TestCase):
+    """No backend server sees a caller's key."""
+
+    def test_key_headers_are_removed(self) -> None:
+        """Neither form of the key header goes upstream."""
+        for name in KEY_HEADERS:
+            headers = ((name, b"Bearer " + KEY.encode()), (b"x-other", b"1"))
+            call = accept({"model": "m", "messages": MESSAGES}, headers=headers)
+            with self.subTest(name=name):
+                self.assertNotIn(name, dict(call.upstream.headers))
+
+    def test_key_elsewhere_is_refused(self) -> None:
+        """A key in the query, the body or another header is refused."""
+        key = KEY.encode()
+        cases = (
+            {"path": f"/filings?key={KEY}", "body": b""},
+            {"path": "/filings", "body": b"x" + key},
+            {"path": "/filings", "body": b"", "headers": ((b"cookie", key),)},
+        )
+        for case in cases:
+            with self.subTest(case=case):
+                self.assertEqual(refuse(**case).code, "malformed")
+
+    def test_short_key_repeated_in_body_is_refused(self) -> None:
+        """The key that was sent is looked for as it is, whatever its length."""
+        headers = ((b"authorization", b"Bearer gh_k_short"),)
+        case = {"path": "/filings", "body": b"gh_k_short", "headers": headers}
+        self.assertEqual(refuse(**case).code, "malformed")
+
+    def test_proof_does_not_hold_the_secret(self) -> None:
+        """The typed request holds no secret."""
+        headers = ((b"authorization", b"Bearer " + KEY.encode()),)
+        call = accept(path="/filings", body=b"", headers=headers)
+        self.assertNotIn("s" * 43, repr(call.request))
+
+    def test_garbage_key_is_unknown_not_missing(self) -> None:
+        """A header that holds no key still counts as a key that was sent."""
+        headers = ((b"authorization", b"Basic abc"),)
+        call = accept(path="/filings", body=b"", headers=headers)
+        self.assertIsNotNone(call.request.proof)
+
+
+class ServiceCallTest(unittest.TestCase):
+    """Other paths belong to plain services."""
+
+    def test_path_without_query(self) -> None:
+        """The target is the path alone; the query goes upstream."""
+        call = accept(path="/filings/7?draft=1", body=b"x")
+        self.assertEqual(call.request.target, PathTarget("/filings/7"))
+        self.assertEqual(call.upstream.target, b"/filings/7?draft=1")
+
+    def test_hop_headers_stay(self) -> None:
+        """Headers of one connection are not passed on."""
+        headers = ((b"connection", b"x-hop"), (b"x-hop", b"1"), (b"x-end", b"2"))
+        call = accept(path="/filings", body=b"", headers=headers)
+        self.assertEqual(call.upstream.headers, ((b"x-end", b"2"),))
+
+    def test_idempotency_key_is_digested(self) -> None:
+        """The claim's name does not repeat what the caller sent."""
+        headers = ((b"idempotency-key", b"deposit-9"),)
+        call = accept(path="/filings", body=b"", headers=headers)
+        self.assertNotIn("deposit", call.request.idempotency_key or "")
--- /dev/null
+++ b/packages/geraniumhall-wire/tests/test_settings.py
@@ -0,0 +1,66 @@
+"""Tests of settings files."""
+
+import unittest
+
+from geraniumhall_wire.settings import Settings, SettingsError
+
+HOST = "host: {name: riga-1, failure_domain: riga-a}\n"
+
+
+def find_fault(text: str) -> str:
+    """Return the message for a faulty file."""
+    try:
+        Settings.from_text(text, "riga-1.yaml")
+    except SettingsError as error:
+        return str(error)
+    raise AssertionError("the settings were accepted")
+
+
+class SettingsTest(unittest.TestCase):
+    """A fault names the file, the path of the field and what was expected."""
+
+    def test_defaults(self) -> None:
+        """Name and failure domain are enough."""
+        settings = Settings.from_text(HOST)
+        self.assertEqual(settings.catalogue.stale_after, 5.0)
+
+    def test_units_are_read(self) -> None:
+        """Durations and sizes have units."""
+        text = HOST + "callers: {read_timeout: 250ms, max_body: 2MiB}"
+        callers = Settings.from_text(text).callers
+        self.assertEqual((callers.read_timeout, callers.max_body), (0.25, 2 * 2**20))
+
+    def test_faults(self) -> None:
+        """Each kind of fault is told apart."""
+        cases = {
+            HOST + "callers: {read_timeout: 5}": (
+                "riga-1.yaml: $.callers.read_timeout: missing unit"
+            ),
+            HOST + "callers: {reed_timeout: 5s}": (
+                "riga-1.yaml: $.callers: unknown field reed_timeout; expected one of"
+            ),
+            HOST + "callers: {max_connections: many}": (
+                "riga-1.yaml: $.callers.max_connections: expected int, got 'many'"
+            ),
+            HOST + "callers: {listen: here}": (
+                "riga-1.yaml: $.callers.listen: expected an address"
+            ),
+            HOST + "routing: {policy: best}": "unknown routing policy 'best'",
+            "host: {name: riga-1}": "$.host.failure_domain: required field missing",
+            "": "riga-1.yaml: $: expected a mapping",
+            "[": "riga-1.yaml: $: not YAML",
+            HOST + "platform: {seed: {engine: {}}}": (
+                "$.platform.seed.engine: unknown kind of record"
+            ),
+            HOST + "platform: {seed: {workspace: {w: {rate: x}}}}": (
+                "$.platform.seed.workspace.w.rate: expected float"
+            ),
+        }
+        for text, expected in cases.items():
+            with self.subTest(text=text):
+                self.assertIn(expected, find_fault(text))
+
+    def test_missing_file(self) -> None:
+        """A file that is not there is a settings error too."""
+        with self.assertRaises(SettingsError):
+            Settings.from_file("no-such-file.yaml")
