Measure the daemon against a plain relay

Cause: the targets (1.5 times a plain relay's CPU for a request, 1.1 for a token) had no measurement.

--- a/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -10,6 +10,7 @@
 import yaml
 
 from geraniumhall_bench import steps
+from geraniumhall_bench.benchmarks import BENCHMARKS
 from geraniumhall_bench.processes import ProcessFailedError
 from geraniumhall_bench.scenario import (
     ExpectationError,
@@ -193,6 +194,14 @@
         data = self._target.call("GET", "/admin/v1/servers").data
         print_result(data["servers"], self._target.json)
 
+    def bench(self, name: str) -> None:
+        """Run a benchmark by name: relay, capacity, ..."""
+        if name not in BENCHMARKS:
+            known = ", ".join(sorted(BENCHMARKS))
+            print(f"unknown benchmark {name!r}; known are: {known}", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        BENCHMARKS.find(name)()
+
     def dump(self) -> None:
         """Print the daemon's whole state as JSON."""
         print(dumps(self._target.call("GET", "/admin/v1/dump").data, indent=2))
