Use one cancel scope for a relay and skip parser calls without data

Cause: a profile of the daemon showed six cancel scopes for a request, a deadline set for every token, and a parser call without data before every receive. Change: the relay's deadline, silence and peer watch share one scope; the silence deadline moves in steps of 0.25 s; the connection's idle and read timeouts share one scope; effects that are there already are not waited for; the client asks the parser only after new data. Ruled out: the reducer as the main cause; it is 0.55 of 5.4 s in the profile.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/callers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/callers.py
@@ -73,15 +73,20 @@
 
 async def _run_exchange(daemon: Daemon, exchange: Exchange) -> None:
     while not exchange.is_finished:
-        with exchange.connection.watch_peer() as peer:
-            effect = await exchange.receive_effect()
-        if peer.cancelled_caught:
-            event = CallerLeft(at=daemon.read_now(), request_id=exchange.request_id)
-            daemon.dispatch(event)
-            effect = await exchange.receive_effect()
+        if not exchange.has_effect:
+            await _await_effect(daemon, exchange)
+        effect = await exchange.receive_effect()
         await EXCHANGE_STEPS.find(type(effect))(daemon, exchange, effect)
 
 
+async def _await_effect(daemon: Daemon, exchange: Exchange) -> None:
+    with exchange.connection.watch_peer() as peer:
+        await exchange.wait_effect()
+    if peer.cancelled_caught:
+        event = CallerLeft(at=daemon.read_now(), request_id=exchange.request_id)
+        daemon.dispatch(event)
+
+
 async def _send_refusal(
     connection: ServerConnection, refusal: Refusal, close: bool = True
 ) -> None:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/exchanges.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/exchanges.py
@@ -49,9 +49,18 @@
         if self._arrival is not None:
             self._arrival.set()
 
+    @property
+    def has_effect(self) -> bool:
+        """Whether an effect is there already."""
+        return bool(self._effects)
+
     async def receive_effect(self) -> Effect:
-        """Wait for the next effect."""
+        """Return the next effect, waiting for it if it is not there yet."""
+        await self.wait_effect()
+        return self._effects.popleft()
+
+    async def wait_effect(self) -> None:
+        """Wait until an effect is there."""
         while not self._effects:
             self._arrival = trio.Event()
             await self._arrival.wait()
-        return self._effects.popleft()
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -30,6 +30,7 @@
 )
 
 MAX_BUFFERED_BYTES = 1 << 20
+SILENCE_STEP_SECONDS = 0.25
 STATUS_UNAVAILABLE = 503
 EVENT_STREAM = b"text/event-stream"
 JSON_HEADERS = ((b"content-type", b"application/json"),)
@@ -57,14 +58,15 @@
     is_sent: bool = False
     is_whole: bool = False
     deadline: float = 0.0
-    silence: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    scope: trio.CancelScope | None = None
 
     async def run(self) -> AttemptResult:
         """Make the attempt and return how it ended."""
         self.deadline = trio.current_time() + self.effect.timeout
+        self.scope = self.exchange.connection.watch_peer(self.deadline)
         self._extend_silence()
         try:
-            with self.exchange.connection.watch_peer() as peer, self.silence:
+            with self.scope:
                 return await self._relay()
         except ConnectFailedError as error:
             return self._fail(AttemptOutcome.CONNECT_FAILED, str(error))
@@ -74,7 +76,7 @@
             return self._fail(AttemptOutcome.CALLER_LEFT, str(error))
         finally:
             await self._release()
-        if peer.cancelled_caught:
+        if self.exchange.connection.is_peer_gone:
             return self._fail(AttemptOutcome.CALLER_LEFT, "the caller left")
         if trio.current_time() >= self.deadline:
             return self._fail(AttemptOutcome.TIMED_OUT, "the deadline passed")
@@ -165,8 +167,11 @@
             raise ExchangeFailedError("the answer belongs to another attempt")
 
     def _extend_silence(self) -> None:
+        assert self.scope is not None
         limit = self.daemon.settings.upstream.silence_timeout
-        self.silence.deadline = min(self.deadline, trio.current_time() + limit)
+        deadline = min(self.deadline, trio.current_time() + limit)
+        if abs(deadline - self.scope.deadline) >= SILENCE_STEP_SECONDS:
+            self.scope.deadline = deadline
 
     def _dispatch_started(self) -> None:
         self.daemon.dispatch(
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -68,6 +68,7 @@
     _http: h11.Connection
     idle_since: float = 0.0
     _is_ended: bool = attrs.field(default=False, init=False)
+    _needs_data: bool = attrs.field(default=True, init=False)
 
     @classmethod
     def from_stream(cls, stream: trio.abc.Stream, address: str) -> "ClientConnection":
@@ -130,6 +131,7 @@
         except h11.ProtocolError:
             return False
         self._is_ended = False
+        self._needs_data = True
         return not self._http.trailing_data[0]
 
     async def close(self) -> None:
@@ -137,19 +139,23 @@
         await trio.aclose_forcefully(self._stream)
 
     async def _next_event(self) -> object:
-        event = self._try_next_event()
-        while event is h11.NEED_DATA:
-            await self._receive_more()
+        while True:
+            if self._needs_data:
+                await self._receive_more()
             event = self._try_next_event()
-        return event
+            if event is not h11.NEED_DATA:
+                return event
 
     def _try_next_event(self) -> object:
+        if self._needs_data:
+            return h11.NEED_DATA
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             raise ExchangeFailedError(f"malformed answer: {error}") from error
         if isinstance(event, h11.ConnectionClosed):
             raise ExchangeFailedError("the connection was closed")
+        self._needs_data = event is h11.NEED_DATA
         return event
 
     async def _receive_more(self) -> None:
@@ -158,6 +164,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ExchangeFailedError(f"receiving failed: {error}") from error
         self._http.receive_data(data)
+        self._needs_data = False
 
 
 @attrs.define(eq=False)
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -8,8 +8,9 @@
         await connection.send_response(200, (), b"hello")
 """
 
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from math import inf
 
 import attrs
 import h11
@@ -83,31 +84,36 @@
                 self._note_peer_gone()
             await self._sender.send(data)
 
-    @contextmanager
-    def watch_peer(self) -> Iterator[trio.CancelScope]:
-        """Cancel the block when the peer goes away."""
-        with trio.CancelScope() as scope:
-            self._watch = scope
-            if self._is_peer_gone:
-                scope.cancel()
-            try:
-                yield scope
-            finally:
-                self._watch = None
+    @property
+    def is_peer_gone(self) -> bool:
+        """Whether the peer closed or broke the connection."""
+        return self._is_peer_gone
+
+    def watch_peer(self, deadline: float = inf) -> trio.CancelScope:
+        """Return a scope that is cancelled when the peer goes away.
+
+        There is one such scope at a time; it also ends at `deadline`, a time
+        on trio's clock.
+        """
+        self._watch = trio.CancelScope(deadline=deadline)
+        if self._is_peer_gone:
+            self._watch.cancel()
+        return self._watch
 
     async def receive_request(self) -> ReceivedRequest | Refusal | None:
         """Return the next request, a refusal if it is faulty, or None at the end."""
-        with trio.move_on_after(self._limits.idle_timeout) as idle:
-            if not await self._receive_first_bytes():
+        self._watch = None
+        has_begun = False
+        with trio.move_on_after(self._limits.idle_timeout) as scope:
+            has_begun = await self._receive_first_bytes()
+            if not has_begun:
                 return None
-        if idle.cancelled_caught:
-            return None
-        with trio.move_on_after(self._limits.read_timeout):
+            scope.deadline = trio.current_time() + self._limits.read_timeout
             try:
                 return await self._read_request()
             except h11.RemoteProtocolError as error:
                 return _classify_fault(error)
-        return REQUEST_TIMEOUT
+        return REQUEST_TIMEOUT if has_begun else None
 
     async def send_response(
         self,
