Compare h11 event types by identity and extend the silence deadline rarely

Cause: h11's events are abstract base classes, so isinstance on them is slow, and the silence deadline was computed for every token. Change: type identity in the client, one comparison of times for a token.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -58,6 +58,7 @@
     is_sent: bool = False
     is_whole: bool = False
     deadline: float = 0.0
+    next_extension: float = 0.0
     scope: trio.CancelScope | None = None
 
     async def run(self) -> AttemptResult:
@@ -167,11 +168,13 @@
             raise ExchangeFailedError("the answer belongs to another attempt")
 
     def _extend_silence(self) -> None:
+        now = trio.current_time()
+        if now < self.next_extension:
+            return
         assert self.scope is not None
         limit = self.daemon.settings.upstream.silence_timeout
-        deadline = min(self.deadline, trio.current_time() + limit)
-        if abs(deadline - self.scope.deadline) >= SILENCE_STEP_SECONDS:
-            self.scope.deadline = deadline
+        self.scope.deadline = min(self.deadline, now + limit)
+        self.next_extension = now + SILENCE_STEP_SECONDS
 
     def _dispatch_started(self) -> None:
         self.daemon.dispatch(
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -107,9 +107,9 @@
         pieces = []
         while not self._is_ended:
             event = self._try_next_event()
-            if isinstance(event, h11.Data):
+            if type(event) is h11.Data:
                 pieces.append(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+            elif type(event) is h11.EndOfMessage:
                 self._is_ended = True
             elif pieces:
                 break
@@ -153,7 +153,7 @@
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             raise ExchangeFailedError(f"malformed answer: {error}") from error
-        if isinstance(event, h11.ConnectionClosed):
+        if type(event) is h11.ConnectionClosed:
             raise ExchangeFailedError("the connection was closed")
         self._needs_data = event is h11.NEED_DATA
         return event
