Let daemons know each other: membership, catalogue relay, borrowed rate tokens

Cause: a daemon could not tell a platform outage from being cut off, every daemon watched the platform itself, and a workspace's rate was split evenly whatever the skew. Each daemon registers its address in the platform, pulls from two peers in turn each second, and takes over members and catalogue changes; ages are counted from the time of asking. Two daemons of a failure domain watch the platform, the others when their peers don't keep them fresh. While the platform is out of reach a copy is trusted if every other daemon was heard within the bound and none knows a newer edit; a daemon takes edits only once all earlier ones have heard of it. A host short of tokens borrows; the lender's room stays empty for the loan's life. Found while writing: a copy made from a listing lacks the deletions before it, so it may not answer an older copy with changes; it then sends all objects. Larger shares wait until no older copy is trusted; readiness waits with them.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/steps.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps.py
@@ -38,22 +38,30 @@
 @STEPS.register("daemon")
 @attrs.frozen(kw_only=True)
 class StartDaemon:
-    """Start a daemon; its addresses go under its name and ``NAME.admin``."""
+    """Start a daemon; its addresses go under its name and ``NAME.admin``.
+
+    The step waits until the daemon takes edits, unless told otherwise.
+    """
 
     name: str
     failure_domain: str
     settings: dict[str, Any] = attrs.field(factory=dict)
+    await_join: bool = True
 
     async def run(self, world: World) -> None:
-        """Start the process and wait until it listens and has a catalogue."""
+        """Start the process and wait until it is at work."""
         settings = world.expand(self.settings)
         settings.setdefault("host", {})
         settings["host"] = {"name": self.name, "failure_domain": self.failure_domain}
-        for listener in ("callers", "admin"):
+        for listener in ("callers", "admin", "peers"):
             settings.setdefault(listener, {}).setdefault("listen", "127.0.0.1:0")
         line = await world.group.start_daemon(self.name, settings)
         world.names[self.name] = line["callers"]
         world.names[f"{self.name}.admin"] = line["admin"]
+        world.names[f"{self.name}.peers"] = line["peers"]
+        process = world.group.processes[self.name]
+        if self.await_join:
+            await process.wait_for_event("joined")
 
 
 @STEPS.register("put")
@@ -61,21 +69,22 @@
 class PutRecord:
     """Write a catalogue record through a daemon's admin API.
 
-    `version` is the version it must have now, zero for a new record.
+    `version` is the version it must have now, zero for a new record; it may
+    name what an earlier step left, as in ``${server/engine-1}``.
     """
 
     via: str
     kind: str
     name: str
     record: dict[str, Any]
-    version: int = 0
+    version: str = "0"
     status: int = 200
 
     async def run(self, world: World) -> None:
         """Write the record and keep its version under ``KIND/NAME``."""
         target = f"/admin/v1/catalogue/{self.kind}/{self.name}"
         record = world.expand(self.record)
-        condition = _build_condition(self.version)
+        condition = _build_condition(int(world.expand(self.version)))
         response = await _call_admin(
             world, self.via, "PUT", target, record, (condition,)
         )
--- a/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -189,6 +189,11 @@
         data = self._target.call("GET", "/admin/v1/hosts").data
         print_result(data["hosts"], self._target.json)
 
+    def members(self) -> None:
+        """List the other daemons as this one sees them."""
+        data = self._target.call("GET", "/admin/v1/members").data
+        print_result(data["members"], self._target.json)
+
     def servers(self) -> None:
         """List backend servers as the daemon sees them."""
         data = self._target.call("GET", "/admin/v1/servers").data
--- a/packages/geraniumhall-core/src/geraniumhall_core/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/admin.py
@@ -59,6 +59,11 @@
     """Read what this daemon knows of backend servers."""
 
 
+@attrs.frozen
+class ReadMembers(AdminCommand):
+    """Read what this daemon knows of the others."""
+
+
 @attrs.frozen
 class ReadDump(AdminCommand):
     """Read the whole state of this daemon, without secrets."""
@@ -89,6 +94,13 @@
     reason: str
 
 
+@attrs.frozen
+class NotJoined(AdminAnswer):
+    """This daemon takes no edit before these other hosts have answered it."""
+
+    unheard: tuple[str, ...]
+
+
 @attrs.frozen
 class DrainStarted(AdminAnswer):
     """The daemon is draining."""
@@ -107,16 +119,37 @@
 
     host: str
     failure_domain: str
-    incarnation: str
+    incarnation: int
     ready: bool
     draining: bool
     catalogue_revision: int
     catalogue_age: float | None
+    catalogue_fresh: bool
+    members: int
     running: int
     waiting: int
     counters: dict[str, int]
 
 
+@attrs.frozen(kw_only=True)
+class MemberStatus:
+    """Another daemon as this one sees it; `heard_age` is in seconds."""
+
+    host: str
+    failure_domain: str
+    address: str
+    condition: str
+    heard_age: float | None
+    revision: int
+
+
+@attrs.frozen
+class MemberStatuses(AdminAnswer):
+    """All daemons that this one knows."""
+
+    members: tuple[MemberStatus, ...]
+
+
 @attrs.frozen(kw_only=True)
 class ServerStatus:
     """A backend server as this daemon sees it."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -4,13 +4,14 @@
 change with a version at or below the known one is ignored.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from enum import Enum
 from typing import Any
 
 import attrs
 
 from geraniumhall_core.keys import KeyRecord
+from geraniumhall_core.peering import HostRecord
 from geraniumhall_core.records import (
     DELETED,
     RECORD_KINDS,
@@ -18,7 +19,7 @@
     VersionedRecord,
 )
 
-CATALOGUE_KINDS = ("entry", "workspace", "key", "server")
+CATALOGUE_KINDS = ("entry", "workspace", "key", "server", "host")
 
 
 class ServiceClass(Enum):
@@ -100,11 +101,15 @@
 class Catalogue:
     """A host's copy of the catalogue.
 
-    `confirmed_at` is the time in seconds at which the newest answer that
-    confirmed this copy was asked for.
+    The copy is complete up to `revision`; single newer records may be there
+    too. Deletions are known from `complete_since` on. `confirmed_at` is the
+    time in seconds at which the newest answer that confirmed this copy was
+    asked for.
     """
 
     revision: int = 0
+    complete_since: int = 0
+    newest_version: int = 0
     confirmed_at: float = float("-inf")
     tables: dict[str, dict[str, Any]] = attrs.field(
         factory=lambda: {kind: {} for kind in CATALOGUE_KINDS}
@@ -133,6 +138,40 @@
         """Backend servers by name."""
         return self.tables["server"]
 
+    @property
+    def hosts(self) -> dict[str, HostRecord]:
+        """Records of hosts whose daemons are registered, by host."""
+        return self.tables["host"]
+
+    def list_changes(self, after: int) -> tuple[VersionedRecord, ...]:
+        """Return the newest version of each object that changed after `after`.
+
+        Below `complete_since` deletions may be missing; a copy that old needs
+        `list_objects`.
+        """
+        if after >= self.newest_version:
+            return ()
+        return tuple(
+            VersionedRecord(key, version, self._find_record(key))
+            for key, version in self.versions.items()
+            if version > after
+        )
+
+    def list_objects(self) -> tuple[VersionedRecord, ...]:
+        """Return all objects, without deletions."""
+        return tuple(
+            VersionedRecord(key, self.versions[key], record)
+            for key, record in self._iterate_records()
+        )
+
+    def _iterate_records(self) -> Iterator[tuple[ObjectKey, Any]]:
+        for kind, table in self.tables.items():
+            for name, record in table.items():
+                yield ObjectKey(kind, name), record
+
+    def _find_record(self, key: ObjectKey) -> Any:
+        return self.tables[key.kind].get(key.name, DELETED)
+
     def find_entry_by_path(self, path: str) -> str | None:
         """Return the name of the service entry with the longest matching path."""
         prefix = path.split("?", 1)[0].rstrip("/")
@@ -156,7 +195,9 @@
         for key, version in catalogue.versions.items()
         if key not in listed and version < revision
     ]
-    return apply_changes(catalogue, revision, [*listed.values(), *missing])
+    applied = apply_changes(catalogue, revision, [*listed.values(), *missing])
+    catalogue.complete_since = max(catalogue.complete_since, revision)
+    return applied
 
 
 def apply_changes(
@@ -176,6 +217,7 @@
     if catalogue.versions.get(item.key, 0) >= item.version:
         return False
     catalogue.versions[item.key] = item.version
+    catalogue.newest_version = max(catalogue.newest_version, item.version)
     table = catalogue.tables[item.key.kind]
     if item.record is DELETED:
         table.pop(item.key.name, None)
--- a/packages/geraniumhall-core/src/geraniumhall_core/claims.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/claims.py
@@ -25,7 +25,7 @@
     """A claim on one idempotency key by one request of one host process."""
 
     host: str
-    incarnation: str
+    incarnation: int
     request_id: str
     status: ClaimStatus = ClaimStatus.OPEN
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -3,6 +3,7 @@
 import attrs
 
 from geraniumhall_core.admin import AdminAnswer
+from geraniumhall_core.peering import PeerAnswer, PeerMessage
 from geraniumhall_core.platform import Message
 from geraniumhall_core.purposes import Purpose
 from geraniumhall_core.reducer import Effect
@@ -65,6 +66,24 @@
     answer: AdminAnswer
 
 
+@attrs.frozen(kw_only=True)
+class CallPeer(Effect):
+    """Call another daemon; `timeout` is in seconds."""
+
+    host: str
+    address: str
+    message: PeerMessage
+    timeout: float
+
+
+@attrs.frozen(kw_only=True)
+class AnswerPeer(Effect):
+    """Answer another daemon's call."""
+
+    call_id: int
+    answer: PeerAnswer
+
+
 @attrs.frozen(kw_only=True)
 class StopListening(Effect):
     """Accept no more connections and close the idle ones."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -7,6 +7,7 @@
 import attrs
 
 from geraniumhall_core.admin import AdminCommand
+from geraniumhall_core.peering import PeerAnswer, PeerMessage
 from geraniumhall_core.platform import Answer
 from geraniumhall_core.purposes import Purpose
 from geraniumhall_core.reducer import Event
@@ -16,7 +17,9 @@
 
 @attrs.frozen(kw_only=True)
 class DaemonStarted(Event):
-    """The process is about to listen."""
+    """The process listens; for peers at `peer_address`, if it has any."""
+
+    peer_address: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -79,6 +82,25 @@
     command: AdminCommand
 
 
+@attrs.frozen(kw_only=True)
+class PeerCalled(Event):
+    """Another daemon called."""
+
+    call_id: int
+    message: PeerMessage
+
+
+@attrs.frozen(kw_only=True)
+class PeerAnswered(Event):
+    """Another daemon answered a call that was made at `asked_at`."""
+
+    asked_at: float
+    host: str
+    message: PeerMessage
+    answer: PeerAnswer
+    draws: tuple[float, float]
+
+
 @attrs.frozen(kw_only=True)
 class DrainRequested(Event):
     """A planned stop was asked for, by signal or by an operator."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/__init__.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/__init__.py
@@ -7,9 +7,11 @@
     admin,
     admission,
     attempts,
+    borrowing,
     catalogue,
     claim_answers,
     lifecycle,
+    membership,
     platform,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
@@ -19,8 +21,10 @@
     "admin",
     "admission",
     "attempts",
+    "borrowing",
     "catalogue",
     "claim_answers",
     "lifecycle",
+    "membership",
     "platform",
 ]
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
@@ -3,15 +3,21 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import attrs
+
 from geraniumhall_core.admin import (
     AdminCommand,
     DeleteRecord,
     DrainStarted,
     InvalidRecord,
     ListRecords,
+    MemberStatus,
+    MemberStatuses,
+    NotJoined,
     PlatformResult,
     ReadDump,
     ReadHosts,
+    ReadMembers,
     ReadRecord,
     ReadServers,
     ReadStatus,
@@ -30,7 +36,17 @@
 )
 from geraniumhall_core.effects import AnswerAdmin, CallPlatform
 from geraniumhall_core.events import AdminCalled, PlatformAnswered
+from geraniumhall_core.handlers.catalogue import (
+    apply_to_state,
+    is_catalogue_fresh,
+)
 from geraniumhall_core.handlers.lifecycle import begin_drain
+from geraniumhall_core.handlers.membership_view import (
+    describe_condition,
+    has_joined,
+    list_peer_addresses,
+    list_unjoined_hosts,
+)
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.keys import KeyRecord
@@ -49,6 +65,7 @@
     Written,
 )
 from geraniumhall_core.purposes import ConfirmEdit, ServeAdmin
+from geraniumhall_core.records import DELETED, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.state import DaemonState
@@ -88,6 +105,7 @@
         )
         return
     answer = PlatformResult(event.answer)
+    yield from _apply_edit(state, event, message)
     yield AnswerAdmin(call_id=purpose.call_id, answer=answer)
 
 
@@ -96,8 +114,9 @@
     state: DaemonState, event: PlatformAnswered, purpose: ConfirmEdit
 ) -> Iterator[Effect]:
     """Tell the operator what became of a write whose reply was lost."""
-    result = PlatformResult(_judge_edit(event.answer, purpose.message))
-    yield AnswerAdmin(call_id=purpose.call_id, answer=result)
+    judged = _judge_edit(event.answer, purpose.message)
+    yield from _apply_edit(state, attrs.evolve(event, answer=judged), purpose.message)
+    yield AnswerAdmin(call_id=purpose.call_id, answer=PlatformResult(judged))
 
 
 @COMMAND_HANDLERS.register(ReadRecord)
@@ -121,6 +140,9 @@
     state: DaemonState, event: AdminCalled, command: WriteRecord
 ) -> Iterator[Effect]:
     """Check a record against the catalogue and write it to the platform."""
+    if not has_joined(state):
+        yield _refuse_edit(state, event)
+        return
     fault = RECORD_CHECKS.find(type(command.record))(state, command.record)
     if fault is not None:
         yield AnswerAdmin(call_id=event.call_id, answer=fault)
@@ -134,6 +156,9 @@
     state: DaemonState, event: AdminCalled, command: DeleteRecord
 ) -> Iterator[Effect]:
     """Delete a record from the platform."""
+    if not has_joined(state):
+        yield _refuse_edit(state, event)
+        return
     yield _call_platform(event, DeleteObject(command.key, command.if_version))
 
 
@@ -155,10 +180,12 @@
         host=state.policy.host,
         failure_domain=state.policy.failure_domain,
         incarnation=state.policy.incarnation,
-        ready=state.is_ready,
+        ready=state.is_ready(event.at),
         draining=state.is_draining,
         catalogue_revision=state.catalogue.revision,
         catalogue_age=None if age == float("inf") else round(age, 3),
+        catalogue_fresh=is_catalogue_fresh(state, event.at),
+        members=len(state.membership.known),
         running=sum(queue.running for queue in state.queues.values()),
         waiting=sum(queue.waiting_count for queue in state.queues.values()),
         counters=dict(sorted(state.counters.items())),
@@ -178,6 +205,18 @@
     yield AnswerAdmin(call_id=event.call_id, answer=ServerStatuses(statuses))
 
 
+@COMMAND_HANDLERS.register(ReadMembers)
+def read_members(
+    state: DaemonState, event: AdminCalled, command: ReadMembers
+) -> Iterator[Effect]:
+    """List the other daemons as this one sees them."""
+    statuses = tuple(
+        _describe_member(state, host, address, event.at)
+        for host, address in sorted(list_peer_addresses(state).items())
+    )
+    yield AnswerAdmin(call_id=event.call_id, answer=MemberStatuses(statuses))
+
+
 @COMMAND_HANDLERS.register(ReadDump)
 def read_dump(
     state: DaemonState, event: AdminCalled, command: ReadDump
@@ -246,6 +285,30 @@
     return CallPlatform(purpose=ServeAdmin(event.call_id, message), message=message)
 
 
+def _refuse_edit(state: DaemonState, event: AdminCalled) -> AnswerAdmin:
+    answer = NotJoined(tuple(list_unjoined_hosts(state)))
+    return AnswerAdmin(call_id=event.call_id, answer=answer)
+
+
+def _apply_edit(
+    state: DaemonState, event: PlatformAnswered, message: Message
+) -> Iterator[Effect]:
+    """Apply an edit that took effect, before the operator is told.
+
+    Peers that pull from here get it even if the platform falls out of reach.
+    """
+    if not isinstance(event.answer, Written) or not event.answer.version:
+        return
+    if not isinstance(message, PutObject | DeleteObject):
+        return
+    record = message.record if isinstance(message, PutObject) else DELETED
+    version = event.answer.version
+    state.peering.latest_written = max(state.peering.latest_written, version)
+    change = VersionedRecord(message.key, version, record)
+    revision = state.catalogue.revision
+    yield from apply_to_state(state, revision, (change,), event.at)
+
+
 def _is_unknown(answer: Answer) -> bool:
     if not isinstance(answer, PlatformFailure):
         return False
@@ -281,3 +344,20 @@
         outstanding=load.outstanding,
         failures=load.failures,
     )
+
+
+def _describe_member(
+    state: DaemonState, host: str, address: str, now: float
+) -> MemberStatus:
+    known = state.membership.known.get(host)
+    is_heard = known is not None and known.heard_at > float("-inf")
+    record = state.catalogue.hosts.get(host)
+    domain = known.member.failure_domain if known else ""
+    return MemberStatus(
+        host=host,
+        failure_domain=record.failure_domain if record else domain,
+        address=address,
+        condition=describe_condition(state, host, now),
+        heard_age=round(now - known.heard_at, 3) if known and is_heard else None,
+        revision=known.member.revision if known else 0,
+    )
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -5,9 +5,10 @@
 from geraniumhall_core.catalogue import CatalogueEntry
 from geraniumhall_core.effects import CloseExchange, RefuseRequest
 from geraniumhall_core.events import CallerLeft, RequestArrived
-from geraniumhall_core.handlers.attempts import end_request, enqueue_request
+from geraniumhall_core.handlers.attempts import end_request
+from geraniumhall_core.handlers.borrowing import may_borrow, wait_for_loan
 from geraniumhall_core.handlers.catalogue import is_catalogue_fresh
-from geraniumhall_core.handlers.claims import needs_claim, take_claim
+from geraniumhall_core.handlers.progress import proceed_request
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.keys import Proof
 from geraniumhall_core.reducer import Effect
@@ -42,10 +43,10 @@
     state.requests[event.request.request_id] = admitted
     state.counters["requests.accepted"] += 1
     state.retry_budget.earn()
-    if needs_claim(admitted):
-        yield take_claim(state, admitted)
+    if admitted.phase is Phase.BORROWING:
+        yield from wait_for_loan(state, admitted, event.at)
     else:
-        yield from enqueue_request(state, admitted, event.at, event.draws)
+        yield from proceed_request(state, admitted, event.at, event.draws)
 
 
 @REDUCER.handles(CallerLeft)
@@ -75,9 +76,9 @@
     workspace = _identify_workspace(state, entry, request.proof, event.at)
     if isinstance(workspace, Refusal):
         return workspace
-    refusal = _check_capacity(state, name, entry, workspace, event.at)
-    if refusal is not None:
-        return refusal
+    phase = _check_capacity(state, name, entry, workspace, event.at)
+    if isinstance(phase, Refusal):
+        return phase
     timeout = entry.limits.deadline
     if request.timeout is not None:
         timeout = min(timeout, request.timeout)
@@ -88,6 +89,7 @@
         repeatable=entry.repeatable,
         arrived_at=event.at,
         deadline=event.at + timeout,
+        phase=phase,
     )
 
 
@@ -120,15 +122,17 @@
 
 def _check_capacity(
     state: DaemonState, name: str, entry: CatalogueEntry, workspace: str, now: float
-) -> Refusal | None:
+) -> Phase | Refusal:
     queue = state.find_queue(name)
     if queue.waiting_count >= entry.limits.max_queued > 0:
         return OVERLOADED
     bucket = state.buckets.get(workspace)
     if bucket is None:
         return RATE_EXCEEDED.because("the workspace has no share on this host")
-    if bucket.try_spend(1, now):
-        return None
+    if workspace not in state.borrows and bucket.try_spend(1, now):
+        return Phase.QUEUED
+    if may_borrow(state, workspace, now):
+        return Phase.BORROWING
     wait = bucket.seconds_until(1)
     return RATE_EXCEEDED if wait is None else RATE_EXCEEDED.retry_in(wait)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
@@ -1,6 +1,10 @@
-"""Keeps the host's copy of the catalogue current, and limits with it."""
+"""Keeps the host's copy of the catalogue current.
 
-from collections.abc import Iterator
+Two daemons in each failure domain watch the platform; the others pull from
+their peers and watch only when that does not keep them fresh.
+"""
+
+from collections.abc import Iterable, Iterator
 
 from geraniumhall_core.catalogue import (
     CATALOGUE_KINDS,
@@ -8,11 +12,15 @@
     apply_listing,
 )
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
-from geraniumhall_core.events import DaemonStarted, PlatformAnswered
+from geraniumhall_core.events import PlatformAnswered
+from geraniumhall_core.handlers.membership_view import (
+    is_watcher,
+    list_unheard_hosts,
+)
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
-from geraniumhall_core.handlers.reducer import REDUCER
-from geraniumhall_core.limits import TokenBucket
+from geraniumhall_core.handlers.shares import find_raise_time, resize_buckets
 from geraniumhall_core.platform import (
+    Answer,
     Changes,
     HistoryGone,
     Listing,
@@ -22,16 +30,12 @@
     WatchObjects,
 )
 from geraniumhall_core.purposes import SyncCatalogue
-from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.retries import compute_backoff
 from geraniumhall_core.state import DaemonState
 
-
-@REDUCER.handles(DaemonStarted)
-def start_sync(state: DaemonState, event: DaemonStarted) -> Iterator[Effect]:
-    """Ask for the whole catalogue."""
-    yield CallPlatform(purpose=SyncCatalogue(), message=_list_catalogue())
+STALE_FRACTION = 0.5
 
 
 @ANSWER_HANDLERS.register(SyncCatalogue)
@@ -39,83 +43,139 @@
     state: DaemonState, event: PlatformAnswered, purpose: SyncCatalogue
 ) -> Iterator[Effect]:
     """Apply what the platform sent and ask for what comes next."""
-    answer = event.answer
-    if isinstance(answer, Listing):
-        changed = apply_listing(state.catalogue, answer.revision, answer.objects)
-    elif isinstance(answer, Changes):
-        changed = apply_changes(state.catalogue, answer.revision, answer.changes)
-    else:
+    state.is_syncing = False
+    if not isinstance(event.answer, Listing | Changes):
         yield from _retry_sync(state, event)
         return
     state.platform_failures = 0
-    confirmed_at = max(state.catalogue.confirmed_at, event.asked_at)
+    confirm_catalogue(state, event.asked_at)
+    yield from _apply_answer(state, event.answer, event.at)
+    if should_watch(state, event.at):
+        yield start_sync(state)
+
+
+def start_sync(state: DaemonState, delay: float = 0.0) -> CallPlatform:
+    """Return the effect that asks for the catalogue, or for its changes."""
+    state.is_syncing = True
+    message: Message = ListObjects(CATALOGUE_KINDS)
+    if state.catalogue.revision:
+        after = state.catalogue.revision
+        message = WatchObjects(CATALOGUE_KINDS, after, state.policy.watch_wait)
+    return CallPlatform(purpose=SyncCatalogue(), message=message, delay=delay)
+
+
+def resume_sync(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Start to watch if the daemon should and does not."""
+    if not state.is_syncing and should_watch(state, now):
+        yield start_sync(state)
+
+
+def should_watch(state: DaemonState, now: float) -> bool:
+    """Tell whether this daemon is a watcher, or is not kept fresh by others."""
+    age = now - state.catalogue.confirmed_at
+    return is_watcher(state, now) or age > state.policy.stale_after * STALE_FRACTION
+
+
+def confirm_catalogue(state: DaemonState, moment: float) -> None:
+    """Note that the copy was the newest at `moment`."""
+    confirmed_at = max(state.catalogue.confirmed_at, moment)
     state.catalogue.confirmed_at = confirmed_at
-    if changed:
-        _resize_buckets(state, changed, event.at)
-        yield _log_change(state, len(changed))
-    yield CallPlatform(purpose=SyncCatalogue(), message=_watch_catalogue(state))
 
 
 def is_catalogue_fresh(state: DaemonState, now: float) -> bool:
-    """Tell whether the copy was confirmed within the bound of the policy."""
-    return now - state.catalogue.confirmed_at <= state.policy.stale_after
+    """Tell whether the copy can be trusted for keys.
+
+    It can if the platform confirmed it within the bound, directly or through
+    peers. While the platform is out of reach it also can if every other
+    daemon was heard within the bound and none knows of a newer edit: edits
+    are made through daemons only, and a daemon takes none before every other
+    one has heard of it.
+    """
+    if not state.catalogue.revision:
+        return False
+    if now - state.catalogue.confirmed_at <= state.policy.stale_after:
+        return True
+    bound = now - state.policy.stale_after
+    if not state.peering.record_version or list_unheard_hosts(state, bound):
+        return False
+    members = state.membership.known.values()
+    revisions = [known.member.revision for known in members]
+    return max(revisions, default=0) <= state.catalogue.revision
+
+
+def apply_to_state(
+    state: DaemonState, revision: int, changes: Iterable[VersionedRecord], now: float
+) -> Iterator[Effect]:
+    """Apply changes that are complete up to `revision`, and what follows."""
+    applied = apply_changes(state.catalogue, revision, changes)
+    yield from _follow_changes(state, applied, now)
 
 
-def _retry_sync(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
-    policy = state.policy
-    delay = 0.0
-    if not isinstance(event.answer, HistoryGone):
-        delay = compute_backoff(
-            state.platform_failures,
-            policy.reconnect_base,
-            policy.reconnect_limit,
-            event.draws[0],
-        )
-        state.platform_failures += 1
-        state.counters["platform.failures"] += 1
-    if state.platform_failures == 1 and isinstance(event.answer, PlatformFailure):
-        yield WriteLog(
-            level="warning",
-            event="platform_unreachable",
-            fields=(LogField("reason", event.answer.reason),),
-        )
-    must_list = isinstance(event.answer, HistoryGone) or not state.catalogue.revision
-    message = _list_catalogue() if must_list else _watch_catalogue(state)
-    yield CallPlatform(purpose=SyncCatalogue(), message=message, delay=delay)
-
-
-def _resize_buckets(
-    state: DaemonState, changed: tuple[ObjectKey, ...], now: float
-) -> None:
-    for key in changed:
-        if key.kind == "workspace":
-            _resize_bucket(state, key.name, now)
-
-
-def _resize_bucket(state: DaemonState, name: str, now: float) -> None:
-    workspace = state.catalogue.workspaces.get(name)
-    if workspace is None or state.policy.host not in workspace.hosts:
-        state.buckets.pop(name, None)
-        return
-    rate = workspace.rate / len(workspace.hosts)
-    burst = workspace.burst / len(workspace.hosts)
-    bucket = state.buckets.setdefault(name, TokenBucket(rate, burst, now))
-    bucket.resize(rate, burst, now)
+def apply_listing_to_state(
+    state: DaemonState, revision: int, objects: Iterable[VersionedRecord], now: float
+) -> Iterator[Effect]:
+    """Apply a whole listing taken at `revision`, and what follows."""
+    is_first = state.catalogue.revision == 0
+    if is_first:
+        state.ready_at = find_raise_time(state, now)
+    applied = apply_listing(state.catalogue, revision, objects)
+    yield from _follow_changes(state, applied, now, is_first)
+
+
+def _apply_answer(state: DaemonState, answer: Answer, now: float) -> Iterator[Effect]:
+    if isinstance(answer, Listing):
+        yield from apply_listing_to_state(state, answer.revision, answer.objects, now)
+    elif isinstance(answer, Changes):
+        yield from apply_to_state(state, answer.revision, answer.changes, now)
 
 
-def _log_change(state: DaemonState, count: int) -> WriteLog:
-    revision = LogField("revision", state.catalogue.revision)
-    return WriteLog(
+def _follow_changes(
+    state: DaemonState,
+    applied: tuple[ObjectKey, ...],
+    now: float,
+    is_first: bool = False,
+) -> Iterator[Effect]:
+    if not applied:
+        return
+    resize_buckets(state, applied, now, is_first)
+    for key in applied:
+        if key.kind == "host":
+            _follow_host(state, key.name, now)
+    newest = max(state.catalogue.versions[key] for key in applied)
+    yield WriteLog(
         level="info",
         event="catalogue_applied",
-        fields=(revision, LogField("changes", count)),
+        fields=(
+            LogField("revision", newest),
+            LogField("changes", len(applied)),
+        ),
     )
 
 
-def _list_catalogue() -> Message:
-    return ListObjects(CATALOGUE_KINDS)
+def _follow_host(state: DaemonState, host: str, now: float) -> None:
+    if host not in state.catalogue.hosts:
+        state.membership.known.pop(host, None)
+    elif host not in state.membership.known:
+        state.peering.next_pull_at = now
 
 
-def _watch_catalogue(state: DaemonState) -> Message:
-    after = state.catalogue.revision
-    return WatchObjects(CATALOGUE_KINDS, after, state.policy.watch_wait)
+def _retry_sync(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
+    if isinstance(event.answer, HistoryGone):
+        state.is_syncing = True
+        message = ListObjects(CATALOGUE_KINDS)
+        yield CallPlatform(purpose=SyncCatalogue(), message=message)
+        return
+    if state.platform_failures == 0 and isinstance(event.answer, PlatformFailure):
+        reason = LogField("reason", event.answer.reason)
+        yield WriteLog(level="warning", event="platform_unreachable", fields=(reason,))
+    policy = state.policy
+    delay = compute_backoff(
+        state.platform_failures,
+        policy.reconnect_base,
+        policy.reconnect_limit,
+        event.draws[0],
+    )
+    state.platform_failures += 1
+    state.counters["platform.failures"] += 1
+    if should_watch(state, event.at):
+        yield start_sync(state, delay)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -13,6 +13,12 @@
 )
 from geraniumhall_core.events import DrainRequested, DumpRequested, Ticked
 from geraniumhall_core.handlers.attempts import expire_waiting
+from geraniumhall_core.handlers.catalogue import resume_sync
+from geraniumhall_core.handlers.membership import (
+    note_joined,
+    pull_from_peers,
+    unregister_host,
+)
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
@@ -22,6 +28,9 @@
 def advance_time(state: DaemonState, event: Ticked) -> Iterator[Effect]:
     """Expire waiting requests, report metrics and go on with a planned stop."""
     yield from expire_waiting(state, event.at)
+    yield from resume_sync(state, event.at)
+    yield from pull_from_peers(state, event.at)
+    yield from note_joined(state)
     yield from _report_metrics(state, event.at)
     yield from _advance_drain(state, event.at)
 
@@ -56,6 +65,7 @@
     if not drain.stopped_listening:
         drain.stopped_listening = True
         yield StopListening()
+        yield from unregister_host(state)
     if not state.requests:
         drain.ended = True
         yield WriteLog(level="info", event="drain_finished")
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -12,7 +12,8 @@
 
     host: str
     failure_domain: str
-    incarnation: str
+    incarnation: int
+    seeds: tuple[str, ...] = ()
     routing: str = "prefix_affinity"
     stale_after: float = 5.0
     watch_wait: float = 2.0
@@ -26,5 +27,9 @@
     drain_grace: float = 2.0
     usage_window: float = 60.0
     metrics_interval: float = 1.0
+    share_delay: float = 6.0
+    pull_interval: float = 1.0
+    suspect_after: float = 5.0
+    watchers_per_domain: int = 2
     prefill_price: float = 1.0
     decode_price: float = 4.0
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -16,6 +16,16 @@
     """Bring the host's copy of the catalogue up to date."""
 
 
+@attrs.frozen
+class RegisterHost(Purpose):
+    """Put the address of this daemon into the catalogue."""
+
+
+@attrs.frozen
+class UnregisterHost(Purpose):
+    """Take this daemon out of the catalogue at its planned end."""
+
+
 @attrs.frozen
 class TakeClaim(Purpose):
     """Create the claim of a request."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -45,6 +45,7 @@
 class Phase(Enum):
     """Where a request stands."""
 
+    BORROWING = "borrowing"
     CLAIMING = "claiming"
     QUEUED = "queued"
     RUNNING = "running"
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -7,7 +7,8 @@
 from geraniumhall_core.catalogue import Catalogue
 from geraniumhall_core.fairness import EntryQueue
 from geraniumhall_core.fleet import ServerLoad
-from geraniumhall_core.limits import TokenBucket
+from geraniumhall_core.limits import BorrowRound, TokenBucket
+from geraniumhall_core.peering import Member, Membership
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.requests import RequestRecord
 from geraniumhall_core.retries import RetryBudget
@@ -23,6 +24,25 @@
     ended: bool = False
 
 
+@attrs.define
+class PeeringState:
+    """How this daemon appears to others, and when it pulls next.
+
+    `latest_written` is the version of the newest edit made through this
+    daemon, which its copy of the catalogue may not have reached in order.
+    """
+
+    address: str = ""
+    incarnation: int = 0
+    heartbeat: int = 0
+    record_version: int = 0
+    registered_at: float = float("inf")
+    latest_written: int = 0
+    is_join_logged: bool = False
+    next_pull_at: float = float("-inf")
+    turn: int = 0
+
+
 @attrs.define
 class MetricsState:
     """What was reported last, so that counters go out as increases."""
@@ -40,7 +60,13 @@
     retry_budget: RetryBudget
     catalogue: Catalogue = attrs.field(factory=Catalogue)
     platform_failures: int = 0
+    is_syncing: bool = False
+    ready_at: float = float("inf")
+    peering: PeeringState = attrs.field(factory=PeeringState)
+    membership: Membership = attrs.field(factory=Membership)
     buckets: dict[str, TokenBucket] = attrs.field(factory=dict)
+    borrows: dict[str, BorrowRound] = attrs.field(factory=dict)
+    borrow_after: dict[str, float] = attrs.field(factory=dict)
     requests: dict[str, RequestRecord] = attrs.field(factory=dict)
     queues: dict[str, EntryQueue] = attrs.field(factory=dict)
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
@@ -56,6 +82,7 @@
             policy=policy,
             usage=UsageLedger(policy.usage_window),
             retry_budget=RetryBudget(policy.retry_ratio, policy.retry_burst),
+            peering=PeeringState(incarnation=policy.incarnation),
         )
 
     @property
@@ -63,10 +90,25 @@
         """Whether a planned stop was asked for."""
         return self.drain.requested_at is not None
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether the balancer should send requests here."""
-        return self.catalogue.revision > 0 and not self.is_draining
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the balancer should send requests here.
+
+        It should once the catalogue is there and its limits are in force.
+        """
+        return now >= self.ready_at and not self.is_draining
+
+    def describe_self(self) -> Member:
+        """Return this daemon as a member, with a new heartbeat."""
+        self.peering.heartbeat += 1
+        return Member(
+            host=self.policy.host,
+            failure_domain=self.policy.failure_domain,
+            address=self.peering.address,
+            incarnation=self.peering.incarnation,
+            heartbeat=self.peering.heartbeat,
+            leaving=self.is_draining,
+            revision=max(self.catalogue.revision, self.peering.latest_written),
+        )
 
     def find_load(self, server: str) -> ServerLoad:
         """Return the load record of a backend server, made on first use."""
--- a/packages/geraniumhall-core/tests/builders.py
+++ b/packages/geraniumhall-core/tests/builders.py
@@ -83,8 +83,8 @@
     policy = Policy(
         host="h1",
         failure_domain="a",
-        incarnation="i1",
-        **changes.pop("policy", {}),
+        incarnation=1,
+        **{"share_delay": 0.0, **changes.pop("policy", {})},
     )
     state = DaemonState.from_policy(policy)
     listing = build_listing(build_records(**changes))
--- a/packages/geraniumhall-core/tests/test_admission.py
+++ b/packages/geraniumhall-core/tests/test_admission.py
@@ -3,6 +3,7 @@
 import unittest
 
 from builders import (
+    NOW,
     build_answer,
     build_arrival,
     build_proof,
@@ -14,6 +15,7 @@
 from geraniumhall_core.catalogue import EntryLimits
 from geraniumhall_core.effects import CloseExchange, RefuseRequest, RelayRequest
 from geraniumhall_core.events import CallerLeft, Ticked
+from geraniumhall_core.limits import Share
 from geraniumhall_core.platform import Changes
 from geraniumhall_core.purposes import SyncCatalogue
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
@@ -111,7 +113,8 @@
         """Two hosts get half of rate and burst each."""
         state = build_state(rate=10.0, burst=4.0, hosts=("h1", "h2"))
         bucket = state.buckets["audit"]
-        self.assertEqual((bucket.rate, bucket.burst), (5.0, 2.0))
+        bucket.accrue(NOW)
+        self.assertEqual(bucket.share, Share(5.0, 2.0))
 
     def test_over_rate_names_the_wait(self) -> None:
         """A refusal over the rate says when to retry."""
--- a/packages/geraniumhall-core/tests/test_claims.py
+++ b/packages/geraniumhall-core/tests/test_claims.py
@@ -44,7 +44,7 @@
 
     def find_stored(self, **changes: str) -> VersionedRecord:
         """Return the claim as it would be stored, with changes."""
-        fields = {"host": "h1", "incarnation": "i1", "request_id": "r1", **changes}
+        fields = {"host": "h1", "incarnation": 1, "request_id": "r1", **changes}
         return VersionedRecord(self.call.message.key, 7, Claim(**fields))
 
     def answer(self, answer: object) -> tuple:
--- a/packages/geraniumhall-core/tests/test_limits.py
+++ b/packages/geraniumhall-core/tests/test_limits.py
@@ -5,7 +5,7 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from geraniumhall_core.limits import TokenBucket
+from geraniumhall_core.limits import Share, TokenBucket
 
 
 class TokenBucketTest(unittest.TestCase):
@@ -13,23 +13,23 @@
 
     def test_starts_empty(self) -> None:
         """A new process holds nothing, whatever its predecessor spent."""
-        self.assertFalse(TokenBucket(1.0, 5.0, 0.0).try_spend(1, 0.0))
+        self.assertFalse(TokenBucket(Share(1.0, 5.0), 0.0).try_spend(1, 0.0))
 
     def test_clock_that_runs_back_earns_nothing(self) -> None:
         """Time that goes back adds no token."""
-        bucket = TokenBucket(1.0, 5.0, 10.0)
+        bucket = TokenBucket(Share(1.0, 5.0), 10.0)
         bucket.accrue(5.0)
         bucket.accrue(10.0)
         self.assertEqual(bucket.tokens, 0.0)
 
     def test_never_enough(self) -> None:
         """An amount over the burst is never there."""
-        self.assertIsNone(TokenBucket(1.0, 5.0, 0.0).seconds_until(6))
+        self.assertIsNone(TokenBucket(Share(1.0, 5.0), 0.0).seconds_until(6))
 
     def test_smaller_burst_loses_tokens(self) -> None:
         """After a cut no more than the new burst is held."""
-        bucket = TokenBucket(1.0, 5.0, 0.0)
-        bucket.resize(1.0, 2.0, 100.0)
+        bucket = TokenBucket(Share(1.0, 5.0), 0.0)
+        bucket.resize(Share(1.0, 2.0), 100.0, 100.0)
         self.assertEqual(bucket.tokens, 2.0)
 
     @seed(20261204)
@@ -43,7 +43,7 @@
     ) -> None:
         """In any window at most burst plus rate times its length is spent."""
         rate, burst, now = 2.0, 5.0, 0.0
-        bucket = TokenBucket(rate, burst, 0.0)
+        bucket = TokenBucket(Share(rate, burst), 0.0)
         spent: list[tuple[float, float]] = []
         for gap, amount in steps:
             now += gap
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -8,8 +8,9 @@
 import attrs
 import trio
 
-from geraniumhall_core.events import DaemonStarted, Ticked
+from geraniumhall_core.events import DaemonStarted, PeerCalled, Ticked
 from geraniumhall_core.handlers import REDUCER
+from geraniumhall_core.peering import PeerAnswer, PeerMessage
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.reducer import Effect, Event
 from geraniumhall_core.state import DaemonState
@@ -17,12 +18,14 @@
 from geraniumhall_daemon.drivers import PLATFORM_DRIVERS, PlatformDriver
 from geraniumhall_daemon.exchanges import Exchange
 from geraniumhall_daemon.metrics import MetricsSink
+from geraniumhall_daemon.peers import PeerTransport
 from geraniumhall_net.client import ClientPool, Connector, connect_tcp
 from geraniumhall_net.listener import Listener
 from geraniumhall_wire.settings import Settings
 
 TICK_SECONDS = 0.25
-INCARNATION_BITS = 48
+INCARNATION_RANDOM_BITS = 16
+MILLISECONDS = 1000
 HISTORY_LENGTH = 128
 
 PERFORMERS = Performers("daemon")
@@ -69,6 +72,8 @@
     platform: PlatformDriver
     pool: ClientPool
     metrics: MetricsSink
+    peers: PeerTransport | None = None
+    peer_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
     recorder: Recorder
     exchanges: dict[str, Exchange] = attrs.field(factory=dict)
     admin_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
@@ -90,8 +95,8 @@
     ) -> "Daemon":
         """Return a daemon that has not started yet."""
         random = random or Random()
-        incarnation = f"{random.getrandbits(INCARNATION_BITS):012x}"
-        policy = settings.build_policy(incarnation)
+        clock = clock or SystemClock()
+        policy = settings.build_policy(_choose_incarnation(clock, random))
         pool = ClientPool(
             connector=connector,
             connect_timeout=settings.upstream.connect_timeout,
@@ -101,7 +106,7 @@
         return cls(
             settings=settings,
             state=DaemonState.from_policy(policy),
-            clock=clock or SystemClock(),
+            clock=clock,
             random=random,
             platform=PLATFORM_DRIVERS.find(settings.platform.driver)(settings),
             pool=pool,
@@ -132,15 +137,25 @@
     def name_request(self) -> str:
         """Return an id that no other request of any process has."""
         policy = self.state.policy
-        return f"{policy.host}-{policy.incarnation}-{next(self._ids)}"
+        return f"{policy.host}-{policy.incarnation:x}-{next(self._ids)}"
 
     def number_call(self) -> int:
         """Return a number that no other admin call of this process has."""
         return next(self._ids)
 
+    async def receive_peer_call(self, message: PeerMessage) -> PeerAnswer:
+        """Let the reducer answer another daemon's call."""
+        sender, receiver = trio.open_memory_channel[PeerAnswer](1)
+        call_id = self.number_call()
+        self.peer_calls[call_id] = sender
+        event = PeerCalled(at=self.read_now(), call_id=call_id, message=message)
+        self.dispatch(event)
+        return await receiver.receive()
+
     async def run_timers(self) -> None:
         """Start the reducer's work and tell it the time until the end."""
-        self.dispatch(DaemonStarted(at=self.read_now()))
+        address = self.peers.address if self.peers else ""
+        self.dispatch(DaemonStarted(at=self.read_now(), peer_address=address))
         while not self.ended.is_set():
             self.dispatch(Ticked(at=self.read_now(), draws=self.draw()))
             with trio.move_on_after(TICK_SECONDS):
@@ -159,3 +174,10 @@
             self.nursery.start_soon(performer.function, self, effect)
         else:
             performer.function(self, effect)
+
+
+def _choose_incarnation(clock: Clock, random: Random) -> int:
+    """Return a number that is greater than that of any earlier process."""
+    milliseconds = int(clock.read_wall_time() * MILLISECONDS)
+    bits = random.getrandbits(INCARNATION_RANDOM_BITS)
+    return (milliseconds << INCARNATION_RANDOM_BITS) | bits
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
@@ -22,7 +22,7 @@
 @HEALTH_CHECKS.register("/readyz")
 def check_readiness(daemon: Daemon) -> bool:
     """Tell whether the balancer should send requests."""
-    return daemon.state.is_ready
+    return daemon.state.is_ready(daemon.read_now())
 
 
 async def answer_health(
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -2,7 +2,8 @@
 
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from functools import partial
 
 import trio
@@ -15,6 +16,7 @@
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_daemon.logs import configure_logs, write_log
+from geraniumhall_daemon.peers import open_grpc_transport
 from geraniumhall_net.listener import Listener
 from geraniumhall_wire.settings import Settings, SettingsError
 
@@ -63,21 +65,31 @@
         write_log("error", "listen_failed", {"reason": str(error)})
         sys.exit(EXIT_SETTINGS)
     daemon.listeners.append(caller_listener)
-    async with trio.open_nursery() as nursery:
+    async with trio.open_nursery() as nursery, open_peers(daemon) as addresses:
         daemon.nursery = nursery
         nursery.start_soon(watch_signals, daemon)
         nursery.start_soon(caller_listener.serve, nursery)
         nursery.start_soon(admin_listener.serve, nursery)
-        addresses = {
-            "callers": caller_listener.address,
-            "admin": admin_listener.address,
-        }
+        addresses["callers"] = caller_listener.address
+        addresses["admin"] = admin_listener.address
         write_log("info", "listening", addresses)
         await daemon.run_timers()
         nursery.cancel_scope.cancel()
     write_log("info", "stopped", {})
 
 
+@asynccontextmanager
+async def open_peers(daemon: Daemon) -> AsyncIterator[dict[str, str]]:
+    """Listen for other daemons, if the settings say so, while the block runs."""
+    listen = daemon.settings.peers.listen
+    if not listen:
+        yield {}
+        return
+    async with open_grpc_transport(listen, daemon.receive_peer_call) as transport:
+        daemon.peers = transport
+        yield {"peers": transport.address}
+
+
 async def watch_signals(daemon: Daemon) -> None:
     """Turn signals into events."""
     with trio.open_signal_receiver(*SIGNAL_EVENTS) as signals:
--- a/packages/geraniumhall-daemon/tests/session.py
+++ b/packages/geraniumhall-daemon/tests/session.py
@@ -34,7 +34,7 @@
 
 SETTINGS = f"""
 host: {{name: h1, failure_domain: a}}
-catalogue: {{watch_wait: 1.1s}}
+catalogue: {{watch_wait: 1.1s, stale_after: 5s}}
 usage: {{window: 1h}}
 platform:
   driver: memory
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_json.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_json.py
@@ -20,9 +20,12 @@
     DrainStarted,
     InvalidRecord,
     ListRecords,
+    MemberStatuses,
+    NotJoined,
     PlatformResult,
     ReadDump,
     ReadHosts,
+    ReadMembers,
     ReadRecord,
     ReadServers,
     ReadStatus,
@@ -159,6 +162,12 @@
     return ReadServers()
 
 
+@ADMIN_ROUTES.register(("GET", f"{ADMIN_PREFIX}/members"))
+def parse_members(call: AdminCall) -> AdminCommand:
+    """Read the other daemons as this one sees them."""
+    return ReadMembers()
+
+
 @ADMIN_ROUTES.register(("POST", f"{ADMIN_PREFIX}/drain"))
 def parse_drain(call: AdminCall) -> AdminCommand:
     """Begin a planned stop."""
@@ -218,7 +227,15 @@
     return WriteRecord(ObjectKey("key", key.key_id), record, 0)
 
 
-@ANSWER_ENCODERS.register(Status, ServerStatuses, StateDump)
+@ANSWER_ENCODERS.register(NotJoined)
+def encode_not_joined(answer: NotJoined) -> AdminReply:
+    """Encode the refusal of an edit by a daemon that has not joined yet."""
+    unheard = ", ".join(answer.unheard) or "the platform"
+    reason = f"this daemon takes edits once it has heard from {unheard}"
+    return encode_admin_fault(AdminFault(503, "not_joined", reason))
+
+
+@ANSWER_ENCODERS.register(Status, ServerStatuses, MemberStatuses, StateDump)
 def encode_description(answer: AdminAnswer) -> AdminReply:
     """Encode an answer field by field, without secrets."""
     return AdminReply(200, describe(answer))
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -20,6 +20,8 @@
 )
 from geraniumhall_wire.units import Address, ByteCount, Seconds, register_units
 
+SHARE_DELAY_FACTOR = 1.2
+
 
 @attrs.frozen
 class SettingsError(Exception):
@@ -83,6 +85,19 @@
     seed: dict[str, dict[str, Any]] = attrs.field(factory=dict)
 
 
+@attrs.frozen(kw_only=True)
+class PeerSettings:
+    """The listener for other daemons; needed with the `http` driver.
+
+    `seeds` are addresses of other daemons to begin with while the platform
+    can't be reached.
+    """
+
+    listen: str = ""
+    seeds: tuple[Address, ...] = ()
+    pull_interval: Seconds = Seconds(1.0)
+
+
 @attrs.frozen(kw_only=True)
 class CatalogueSettings:
     """How current the copy of the catalogue must be."""
@@ -152,6 +167,7 @@
     admin: AdminSettings = AdminSettings()
     platform: PlatformSettings = PlatformSettings()
     catalogue: CatalogueSettings = CatalogueSettings()
+    peers: PeerSettings = PeerSettings()
     routing: RoutingSettings = RoutingSettings()
     upstream: UpstreamSettings = UpstreamSettings()
     drain: DrainSettings = DrainSettings()
@@ -177,6 +193,7 @@
                 raise SettingsError(file, (Fault("$", "expected a mapping"),))
             settings = structure(CONVERTER, data, cls)
             settings.read_seed()
+            settings.check_peers()
             return settings
         except yaml.YAMLError as error:
             fault = Fault("$", f"not YAML: {error}")
@@ -195,14 +212,23 @@
                 records[ObjectKey(kind, name)] = _read_record(kind, name, data)
         return records
 
-    def build_policy(self, incarnation: str) -> Policy:
+    def check_peers(self) -> None:
+        """Raise `InvalidDataError` if peers are needed and not set."""
+        if self.platform.driver != "memory" and not self.peers.listen:
+            reason = "expected an address, which drivers other than memory need"
+            raise InvalidDataError((Fault("$.peers.listen", reason),))
+
+    def build_policy(self, incarnation: int) -> Policy:
         """Return the policy of a process with this `incarnation`."""
         return Policy(
             host=self.host.name,
             failure_domain=self.host.failure_domain,
             incarnation=incarnation,
             routing=self.routing.policy,
+            seeds=self.peers.seeds,
+            pull_interval=self.peers.pull_interval,
             stale_after=self.catalogue.stale_after,
+            share_delay=self.catalogue.stale_after * SHARE_DELAY_FACTOR,
             watch_wait=self.catalogue.watch_wait,
             max_attempts=self.routing.max_attempts,
             retry_ratio=self.routing.retry_ratio,
