--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
@@ -8,7 +8,7 @@
 from geraniumhall_core.handlers.membership import CALL_HANDLERS, PEER_ANSWER_HANDLERS
 from geraniumhall_core.handlers.membership_view import is_live
 from geraniumhall_core.handlers.progress import proceed_request
-from geraniumhall_core.limits import LOAN_SECONDS, BorrowRound
+from geraniumhall_core.limits import LOAN_SECONDS, SHARING_POLICIES, BorrowRound
 from geraniumhall_core.peering import BorrowAnswer, BorrowRequest, PeerAnswer
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import RATE_EXCEEDED
@@ -88,12 +88,11 @@
     waiting = [n for n in current.waiting if n in state.requests]
     current.waiting = []
     for index, request_id in enumerate(waiting):
-        before = bucket.tokens
-        if not bucket.try_spend(TOKENS_PER_REQUEST, event.at, current.pool):
+        rest = bucket.spend_with_loan(TOKENS_PER_REQUEST, current.pool, event.at)
+        if rest is None:
             current.waiting = waiting[index:]
             break
-        from_pool = min(current.pool, max(0.0, TOKENS_PER_REQUEST - before))
-        current.pool -= from_pool
+        current.pool = rest
         record = state.requests[request_id]
         yield from proceed_request(state, record, event.at, event.draws)
     bucket.keep(current.pool, event.at)
@@ -119,9 +118,19 @@
         )
 
 
-def _list_lenders(
+@SHARING_POLICIES.register("split")
+def lend_nothing(
+    state: DaemonState, workspace: str, asked: set[str], now: float
+) -> list[str]:
+    """Keep to the equal split; no host lends."""
+    return []
+
+
+@SHARING_POLICIES.register("borrow")
+def list_holders(
     state: DaemonState, workspace: str, asked: set[str], now: float
 ) -> list[str]:
+    """Return the live hosts with a share that were not asked yet."""
     record = state.catalogue.workspaces.get(workspace)
     known = state.membership.known
     return [
@@ -131,6 +140,13 @@
     ]
 
 
+def _list_lenders(
+    state: DaemonState, workspace: str, asked: set[str], now: float
+) -> list[str]:
+    policy = SHARING_POLICIES.find(state.policy.sharing)
+    return policy(state, workspace, asked, now)
+
+
 def _give_up(
     state: DaemonState, workspace: str, current: BorrowRound, now: float
 ) -> Iterator[Effect]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/limits.py
@@ -8,9 +8,15 @@
 asking. So a loan, wherever it is, is always covered by empty room.
 """
 
+from collections.abc import Callable
+
 import attrs
 
-LOAN_SECONDS = 1.0
+from geraniumhall_core.registry import Registry
+
+LOAN_SECONDS = 0.2
+
+SHARING_POLICIES: Registry[str, Callable[..., list[str]]] = Registry("sharing policy")
 
 
 @attrs.frozen(order=True)
@@ -66,17 +72,22 @@
             self.pending = None
         self._accrue_until(now)
 
-    def try_spend(self, amount: float, now: float, borrowed: float = 0.0) -> bool:
-        """Spend `amount` tokens and return True, or leave the bucket as it is.
+    def try_spend(self, amount: float, now: float) -> bool:
+        """Spend `amount` tokens and return True, or leave the bucket as it is."""
+        return self.spend_with_loan(amount, 0.0, now) is not None
 
-        Up to `borrowed` of them come from a loan; what is left of the loan is
-        lost, but for the room that the bucket has.
+    def spend_with_loan(self, amount: float, loan: float, now: float) -> float | None:
+        """Spend `amount` tokens, those of a loan first.
+
+        Returns what is left of the loan, or None if there is not enough; the
+        bucket is then left as it is.
         """
         self.accrue(now)
-        if self.tokens + borrowed < amount:
-            return False
-        self.tokens = min(self.room, self.tokens + borrowed - amount)
-        return True
+        if self.tokens + loan < amount:
+            return None
+        from_loan = min(loan, amount)
+        self.tokens -= amount - from_loan
+        return loan - from_loan
 
     def keep(self, borrowed: float, now: float) -> None:
         """Put tokens of a loan into the bucket, as far as there is room."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -15,6 +15,7 @@
     incarnation: int
     seeds: tuple[str, ...] = ()
     routing: str = "prefix_affinity"
+    sharing: str = "borrow"
     stale_after: float = 5.0
     watch_wait: float = 2.0
     max_attempts: int = 3
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -1,5 +1,6 @@
 """Settings of a daemon process, read from a YAML file and checked on load."""
 
+from collections.abc import Callable
 from ipaddress import ip_address
 from pathlib import Path
 from typing import Any
@@ -9,8 +10,10 @@
 from attrs import validators
 
 from geraniumhall_core.catalogue import CATALOGUE_KINDS
+from geraniumhall_core.handlers.borrowing import SHARING_POLICIES
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.records import RECORD_KINDS, ObjectKey
+from geraniumhall_core.registry import Registry
 from geraniumhall_core.routing import ROUTING_POLICIES
 from geraniumhall_wire.converter import (
     Fault,
@@ -34,10 +37,11 @@
         return "\n".join(f"{self.file}: {fault}" for fault in self.faults)
 
 
-def _check_routing(instance: Any, attribute: attrs.Attribute, value: str) -> None:
-    if value not in ROUTING_POLICIES:
-        known = ", ".join(sorted(ROUTING_POLICIES))
-        raise ValueError(f"unknown routing policy {value!r}; known are: {known}")
+def _check_entry(registry: Registry[str, Any]) -> Callable[..., None]:
+    def check(instance: Any, attribute: attrs.Attribute, value: str) -> None:
+        registry.find(value)
+
+    return check
 
 
 @attrs.frozen(kw_only=True)
@@ -110,11 +114,22 @@
 class RoutingSettings:
     """How backend servers are chosen and failures are retried."""
 
-    policy: str = attrs.field(default="prefix_affinity", validator=_check_routing)
+    policy: str = attrs.field(
+        default="prefix_affinity", validator=_check_entry(ROUTING_POLICIES)
+    )
     max_attempts: int = attrs.field(default=3, validator=validators.ge(1))
     retry_ratio: float = attrs.field(default=0.1, validator=validators.ge(0))
 
 
+@attrs.frozen(kw_only=True)
+class LimitSettings:
+    """How hosts share a workspace's rate: `borrow`, or an equal `split`."""
+
+    sharing: str = attrs.field(
+        default="borrow", validator=_check_entry(SHARING_POLICIES)
+    )
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamSettings:
     """Connections to backend servers."""
@@ -169,6 +184,7 @@
     catalogue: CatalogueSettings = CatalogueSettings()
     peers: PeerSettings = PeerSettings()
     routing: RoutingSettings = RoutingSettings()
+    limits: LimitSettings = LimitSettings()
     upstream: UpstreamSettings = UpstreamSettings()
     drain: DrainSettings = DrainSettings()
     usage: UsageSettings = UsageSettings()
@@ -225,6 +241,7 @@
             failure_domain=self.host.failure_domain,
             incarnation=incarnation,
             routing=self.routing.policy,
+            sharing=self.limits.sharing,
             seeds=self.peers.seeds,
             pull_interval=self.peers.pull_interval,
             stale_after=self.catalogue.stale_after,
