Borrow rate tokens from the host that should have most

Cause: with nine hosts a fifth of the requests within the rate was refused: loans kept 0.2 s of lent tokens' room empty, lenders were asked blindly in turn for the whole amount, and after a failed round 0.1 s of requests was refused. Change: loans last 0.05 s over a call's 0.04 s; a lender tells what it has left, a host estimates the others' levels from that and their shares, asks the richest, no more than is missing, and refuses without asking when all together should not have a token. The pause is gone.

--- a/packages/geraniumhall-bench/tests/test_rates.py
+++ b/packages/geraniumhall-bench/tests/test_rates.py
@@ -136,6 +136,18 @@
         self.hosts.lost_replies = int(is_lost)
         self.hosts.call_admin(via, WriteRecord(WORKSPACE, record, version))
 
+    def teardown(self) -> None:
+        """In the end every request has ended and no round goes on."""
+        if not hasattr(self, "hosts"):
+            return
+        self.hosts.heal()
+        for host in NAMES:
+            self.hosts.resume(host)
+        self.hosts.run_for(70.0)
+        for daemon in self.hosts.daemons.values():
+            assert daemon.state.requests == {}
+            assert daemon.state.borrows == {}
+
     @invariant()
     def stays_within_rate_and_burst(self) -> None:
         """All hosts together stay within rate and burst in every window."""
@@ -183,6 +195,15 @@
         self.send(hosts, "h1", 50, 1.0)
         self.assertEqual(hosts.refused, [])
 
+    def test_almost_a_token(self) -> None:
+        """A host that misses a tiny part of a token borrows it."""
+        hosts = build_hosts()
+        bucket = hosts.daemons["h0"].state.buckets["audit"]
+        bucket.accrue(hosts.now)
+        bucket.tokens = 0.97
+        self.send(hosts, "h0", 1, 1.0)
+        self.assertEqual((len(hosts.started), hosts.refused), (1, []))
+
     def test_lost_loans_cost_tokens_only(self) -> None:
         """Answers that never arrive make nobody exceed the rate."""
         hosts = build_hosts()
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/shares.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/shares.py
@@ -32,7 +32,7 @@
 
 
 def _resize_bucket(state: DaemonState, name: str, now: float, is_first: bool) -> None:
-    share = _find_share(state, name)
+    share = find_share(state, name, state.policy.host)
     raise_at = find_raise_time(state, now)
     bucket = state.buckets.get(name)
     if bucket is None:
@@ -42,9 +42,10 @@
     bucket.resize(share, now, raise_at)
 
 
-def _find_share(state: DaemonState, name: str) -> Share:
+def find_share(state: DaemonState, name: str, host: str) -> Share:
+    """Return a host's equal part of a workspace's rate and burst."""
     workspace = state.catalogue.workspaces.get(name)
-    if workspace is None or state.policy.host not in workspace.hosts:
+    if workspace is None or host not in workspace.hosts:
         return NO_SHARE
     parts = len(workspace.hosts)
     return Share(workspace.rate / parts, workspace.burst / parts)
--- a/packages/geraniumhall-core/src/geraniumhall_core/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/limits.py
@@ -8,15 +8,9 @@
 asking. So a loan, wherever it is, is always covered by empty room.
 """
 
-from collections.abc import Callable
-
 import attrs
 
-from geraniumhall_core.registry import Registry
-
-LOAN_SECONDS = 0.2
-
-SHARING_POLICIES: Registry[str, Callable[..., list[str]]] = Registry("sharing policy")
+LOAN_SECONDS = 0.05
 
 
 @attrs.frozen(order=True)
@@ -129,10 +123,21 @@
 class BorrowRound:
     """A host's attempt to borrow for requests that wait for tokens.
 
-    `asked` are the hosts asked so far, `outstanding` the answers to come.
+    `outstanding` is the number of answers to come, `pool` what came so far.
     """
 
     waiting: list[str] = attrs.field(factory=list)
-    asked: set[str] = attrs.field(factory=set)
     outstanding: int = 0
     pool: float = 0.0
+
+
+@attrs.frozen
+class LenderLevel:
+    """The tokens that a lender had left at a time in seconds."""
+
+    tokens: float
+    at: float
+
+    def estimate(self, share: Share, now: float) -> float:
+        """Return what the lender may have by now, with this share."""
+        return min(share.burst, self.tokens + (now - self.at) * share.rate)
--- a/packages/geraniumhall-core/src/geraniumhall_core/peering.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peering.py
@@ -91,9 +91,13 @@
 
 @attrs.frozen
 class BorrowAnswer(PeerAnswer):
-    """Tokens that the lender has given up; they must be spent at once."""
+    """Tokens that the lender has given up; they must be spent at once.
+
+    `left` is what the lender still has.
+    """
 
     amount: float
+    left: float
 
 
 @attrs.frozen
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -7,7 +7,7 @@
 from geraniumhall_core.catalogue import Catalogue
 from geraniumhall_core.fairness import EntryQueue
 from geraniumhall_core.fleet import ServerLoad
-from geraniumhall_core.limits import BorrowRound, TokenBucket
+from geraniumhall_core.limits import BorrowRound, LenderLevel, TokenBucket
 from geraniumhall_core.peering import Member, Membership
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.requests import RequestRecord
@@ -66,7 +66,7 @@
     membership: Membership = attrs.field(factory=Membership)
     buckets: dict[str, TokenBucket] = attrs.field(factory=dict)
     borrows: dict[str, BorrowRound] = attrs.field(factory=dict)
-    borrow_after: dict[str, float] = attrs.field(factory=dict)
+    lender_levels: dict[tuple[str, str], LenderLevel] = attrs.field(factory=dict)
     requests: dict[str, RequestRecord] = attrs.field(factory=dict)
     queues: dict[str, EntryQueue] = attrs.field(factory=dict)
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peer_codec.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peer_codec.py
@@ -104,13 +104,13 @@
 @ENCODERS.register(BorrowAnswer)
 def encode_loan(answer: BorrowAnswer) -> Any:
     """Encode tokens that were given up."""
-    return peer_pb2.BorrowAnswer(amount=answer.amount)
+    return peer_pb2.BorrowAnswer(amount=answer.amount, left=answer.left)
 
 
 @DECODERS.register(peer_pb2.BorrowAnswer)
 def decode_loan(encoded: Any) -> BorrowAnswer:
     """Decode tokens that were given up."""
-    return BorrowAnswer(encoded.amount)
+    return BorrowAnswer(encoded.amount, encoded.left)
 
 
 def _encode_member(member: Member) -> Any:
