Take leases by term, and seal and report usage under one

Cause: usage was counted in memory only, and nothing had authority. Change: leases in the platform (conditional writes, life from before sending, a margin, a successor that waits a life from its first sight, terms that rise also over planned hand-overs). Each process writes its counts of a window as a numbered part; the lease's holder seals a window by one conditional write that names the parts, reports from the stored seal only, and processes carry over what a seal did not take in. Found on the way: a lease read back after a lost write was counted from the later write, which a successor does not wait for, so every write has a number; deleting a lease at hand-over would restart its terms, so it is marked free; the random machine found that a part whose write failed counted as written (5 requests served at a daemon cut off from the platform were never reported). Loss bound: what a killed process had not written, at most flush_interval.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/virtual_hosts.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/virtual_hosts.py
@@ -60,8 +60,10 @@
 
 PLATFORM_NAME = "platform"
 TICK_SECONDS = 0.25
-PLATFORM_TICK_SECONDS = 0.05
+PLATFORM_TICK_SECONDS = 0.25
 PLATFORM_TIMEOUT_SECONDS = 2.0
+PROMPT_TOKENS = 3
+GENERATED_TOKENS = 5
 
 EventBuilder = Callable[[float], Event]
 
@@ -116,6 +118,7 @@
     refused: list[Refused] = attrs.field(factory=list)
     admin_answers: dict[int, AdminAnswer] = attrs.field(factory=dict)
     peer_calls: int = 0
+    platform_messages: list[Any] = attrs.field(factory=list)
     _agenda: list[tuple[float, int, Callable[[], None]]] = attrs.field(factory=list)
     _ids: count = attrs.field(factory=lambda: count(1))
     _platform_calls: dict[int, Callable[[Answer], None]] = attrs.field(factory=dict)
@@ -260,7 +263,10 @@
     def _tick(self, daemon: VirtualDaemon) -> None:
         if daemon.is_alive:
             if not daemon.is_paused:
-                self.send(daemon, lambda at: Ticked(at=at, draws=self.draw()))
+                self.send(
+                    daemon,
+                    lambda at: Ticked(at=at, wall_time=at, draws=self.draw()),
+                )
             self._schedule(TICK_SECONDS, lambda: self._tick(daemon))
 
     def _tick_platform(self) -> None:
@@ -268,6 +274,7 @@
         self._schedule(PLATFORM_TICK_SECONDS, self._tick_platform)
 
     def _reach_platform(self, call_id: int, message: Any) -> None:
+        self.platform_messages.append(message)
         event = CallReceived(at=self.now, call_id=call_id, message=message)
         self._apply_to_platform(event)
 
@@ -311,6 +318,7 @@
                 lambda at: PlatformAnswered(
                     at=at,
                     asked_at=asked_at,
+                    wall_time=at,
                     purpose=effect.purpose,
                     answer=answer,
                     draws=hosts.draw(),
@@ -369,6 +377,8 @@
                 verdict=Verdict.RAN,
                 wall_time=at,
                 draws=hosts.draw(),
+                prompt_tokens=PROMPT_TOKENS,
+                generated_tokens=GENERATED_TOKENS,
             ),
         )
 
--- /dev/null
+++ b/packages/geraniumhall-bench/tests/test_authority.py
@@ -0,0 +1,313 @@
+"""One holder of a lease at a time, and usage that is sealed and reported once."""
+
+import os
+import unittest
+from collections import Counter
+from itertools import count
+from random import Random
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from geraniumhall_bench.virtual_hosts import PLATFORM_NAME, VirtualHosts
+from geraniumhall_core.admin import WriteRecord
+from geraniumhall_core.catalogue import (
+    BackendServer,
+    CatalogueEntry,
+    ServiceClass,
+    Workspace,
+)
+from geraniumhall_core.events import DrainRequested
+from geraniumhall_core.handlers.leases import USAGE_LEASE, find_term
+from geraniumhall_core.platform import ReportUsage
+from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.requests import CallerRequest, ModelTarget
+
+NAMES = ("h0", "h1", "h2")
+PLACES = (*NAMES, PLATFORM_NAME)
+JOIN_SECONDS = 6.0
+TTL_SECONDS = 3.0
+POLICY = {
+    "usage_window": 5.0,
+    "lease_ttl": TTL_SECONDS,
+    "lease_margin": 0.5,
+    "flush_interval": 1.0,
+    "seal_grace": 3.0,
+    "settle_grace": 6.0,
+}
+EXAMPLES = int(os.environ.get("GERANIUMHALL_EXAMPLES", "20"))
+STEPS = int(os.environ.get("GERANIUMHALL_STEPS", "20"))
+WORKSPACES = ("audit", "other")
+
+
+def build_hosts() -> VirtualHosts:
+    """Return three joined daemons and an open entry for each workspace."""
+    hosts = VirtualHosts(Random(5))
+    for name in NAMES:
+        hosts.start(name, **POLICY)
+    hosts.run_for(JOIN_SECONDS)
+    for name in WORKSPACES:
+        workspace = Workspace(rate=1e6, burst=1e6, hosts=NAMES)
+        hosts.call_admin("h0", WriteRecord(ObjectKey("workspace", name), workspace, 0))
+        hosts.run_for(1.0)
+        entry = CatalogueEntry(
+            owner=name,
+            service_class=ServiceClass.MODEL,
+            open_to_all=True,
+            repeatable=True,
+        )
+        hosts.call_admin("h0", WriteRecord(ObjectKey("entry", name), entry, 0))
+    server = BackendServer(
+        address="10.0.0.1:80", failure_domain="a", entries=WORKSPACES
+    )
+    hosts.call_admin("h0", WriteRecord(ObjectKey("server", "e"), server, 0))
+    hosts.run_for(JOIN_SECONDS)
+    return hosts
+
+
+def list_holders(hosts: VirtualHosts) -> list[tuple[str, int]]:
+    """Return the daemons that believe they hold the usage lease, with terms."""
+    return [
+        (name, term)
+        for name, daemon in hosts.daemons.items()
+        if daemon.is_alive
+        and (term := find_term(daemon.state, USAGE_LEASE, hosts.now)) is not None
+    ]
+
+
+def list_reports(hosts: VirtualHosts) -> list[ReportUsage]:
+    """Return every report that reached the platform."""
+    return [m for m in hosts.platform_messages if isinstance(m, ReportUsage)]
+
+
+def count_held(hosts: VirtualHosts, host: str) -> int:
+    """Return the requests in windows that a daemon has not settled."""
+    windows = hosts.daemons[host].state.usage.windows.values()
+    return sum(f.requests for w in windows for f in w.table.values())
+
+
+class FaultMachine(RuleBasedStateMachine):
+    """Cuts, pauses, kills and lost replies over three daemons."""
+
+    @initialize()
+    def start(self) -> None:
+        """Start the daemons."""
+        self.hosts = build_hosts()
+        self.ids = count(1)
+        self.lost_at_kills = 0
+
+    @rule(seconds=st.sampled_from([0.01, 0.4, 1.5, 4.0, 12.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.hosts.run_for(seconds)
+
+    @rule(one=st.sampled_from(NAMES), other=st.sampled_from(PLACES), both=st.booleans())
+    def cut(self, one: str, other: str, both: bool) -> None:
+        """Cut one direction or both."""
+        self.hosts.cut(one, other, both)
+
+    @rule(host=st.sampled_from(NAMES))
+    def cut_replies(self, host: str) -> None:
+        """Let a daemon's writes through and lose the replies."""
+        self.hosts.cut(PLATFORM_NAME, host, both_ways=False)
+
+    @rule()
+    def heal(self) -> None:
+        """Undo the cuts."""
+        self.hosts.heal()
+
+    @rule(number=st.integers(1, 3))
+    def lose_replies(self, number: int) -> None:
+        """Lose the next replies of the platform."""
+        self.hosts.lost_replies = number
+
+    @rule(host=st.sampled_from(NAMES))
+    def pause(self, host: str) -> None:
+        """Pause a daemon."""
+        self.hosts.pause(host)
+
+    @rule(host=st.sampled_from(NAMES))
+    def resume(self, host: str) -> None:
+        """Let a paused daemon go on."""
+        self.hosts.resume(host)
+
+    @rule(host=st.sampled_from(NAMES))
+    def restart(self, host: str) -> None:
+        """Kill a daemon and start another on its host."""
+        self.lost_at_kills += count_held(self.hosts, host)
+        self.lost_at_kills += len(self.hosts.daemons[host].state.requests)
+        self.hosts.kill(host)
+        self.hosts.start(host, **POLICY)
+
+    @rule(
+        host=st.sampled_from(NAMES),
+        workspace=st.sampled_from(WORKSPACES),
+        number=st.integers(1, 5),
+    )
+    def request(self, host: str, workspace: str, number: int) -> None:
+        """Send requests to one host."""
+        for _ in range(number):
+            name = f"r{next(self.ids)}"
+            request = CallerRequest(request_id=name, target=ModelTarget(workspace))
+            self.hosts.request(host, request)
+
+    @invariant()
+    def has_one_holder(self) -> None:
+        """At no time do two daemons hold the lease."""
+        if hasattr(self, "hosts"):
+            assert len(list_holders(self.hosts)) <= 1
+
+    @invariant()
+    def reports_one_figure_for_a_window(self) -> None:
+        """No window of a workspace is reported with different figures."""
+        if not hasattr(self, "hosts"):
+            return
+        reports = set(list_reports(self.hosts))
+        windows = Counter((r.workspace, r.window) for r in reports)
+        assert all(number == 1 for number in windows.values())
+
+    def teardown(self) -> None:
+        """In the end all that was counted is reported once."""
+        if not hasattr(self, "hosts"):
+            return
+        self.hosts.heal()
+        self.hosts.lost_replies = 0
+        for host in NAMES:
+            self.hosts.resume(host)
+        self.hosts.run_for(60.0)
+        reported = sum(r.requests for r in set(list_reports(self.hosts)))
+        served = len(self.hosts.started)
+        assert reported <= served
+        assert reported >= served - self.lost_at_kills
+
+
+@seed(20261204)
+@settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    phases=(Phase.explicit, Phase.generate),
+    suppress_health_check=list(HealthCheck),
+)
+class SeededFaultMachine(FaultMachine):
+    """The machine with its fixed seed."""
+
+
+class FaultTest(SeededFaultMachine.TestCase):  # type: ignore[name-defined, misc]
+    """Random histories keep one holder and one figure for each window."""
+
+
+class LeaseTest(unittest.TestCase):
+    """Authority passes on without an overlap."""
+
+    def find_holder(self, hosts: VirtualHosts) -> str:
+        """Return the one holder."""
+        holders = list_holders(hosts)
+        self.assertEqual(len(holders), 1, holders)
+        return holders[0][0]
+
+    def test_paused_holder_has_lost_its_lease(self) -> None:
+        """A holder that slept past its lease knows so on waking."""
+        hosts = build_hosts()
+        holder = self.find_holder(hosts)
+        hosts.pause(holder)
+        hosts.run_for(12)
+        hosts.daemons[holder].is_paused = False
+        self.assertNotEqual(self.find_holder(hosts), holder)
+
+    def test_lost_renewal_does_not_lengthen_the_lease(self) -> None:
+        """A write that never arrived is not taken for the one read back."""
+        hosts = build_hosts()
+        holder = self.find_holder(hosts)
+        lease = hosts.daemons[holder].state.leases[USAGE_LEASE]
+        hosts.run_for(max(0.0, lease.next_call_at - hosts.now - 0.1))
+        before = lease.held_until
+        hosts.cut(holder, PLATFORM_NAME)
+        hosts.run_for(0.9)
+        hosts.heal()
+        hosts.run_for(0.2)
+        renewals = len(lease.written_at)
+        self.assertGreaterEqual(renewals, 1)
+        self.assertLessEqual(lease.held_until, max(before, hosts.now + TTL_SECONDS))
+
+    def test_term_rises_with_each_holder(self) -> None:
+        """The fencing token never comes again."""
+        hosts = build_hosts()
+        terms = []
+        for _ in range(4):
+            terms.append(list_holders(hosts)[0][1])
+            self.restart(hosts, self.find_holder(hosts))
+        self.assertEqual(terms, sorted(set(terms)))
+
+    def restart(self, hosts: VirtualHosts, host: str) -> None:
+        """Kill a daemon, start it again and wait for a successor."""
+        hosts.kill(host)
+        hosts.start(host, **POLICY)
+        hosts.run_for(12)
+
+    def test_planned_stop_hands_over_at_once(self) -> None:
+        """A lease that is given up is taken without waiting for its end."""
+        hosts = build_hosts()
+        holder = self.find_holder(hosts)
+        term = list_holders(hosts)[0][1]
+
+        hosts.send(hosts.daemons[holder], lambda at: DrainRequested(at=at))
+        hosts.run_for(7)
+        self.assertEqual(list_holders(hosts)[0][1], term + 1)
+
+
+class UsageTest(unittest.TestCase):
+    """Every count is reported in one window."""
+
+    def serve(self, hosts: VirtualHosts, host: str, number: int) -> None:
+        """Serve some requests at a host."""
+        for index in range(number):
+            name = f"{host}-{hosts.now}-{index}"
+            request = CallerRequest(request_id=name, target=ModelTarget("audit"))
+            hosts.request(host, request)
+        hosts.run_for(1.0)
+
+    def test_counts_of_all_hosts_are_added(self) -> None:
+        """The reports hold what three hosts served, and the tokens."""
+        hosts = build_hosts()
+        for host in NAMES:
+            self.serve(hosts, host, 7)
+        hosts.run_for(30)
+        reports = list_reports(hosts)
+        self.assertEqual(sum(r.requests for r in reports), 21)
+        self.assertEqual(sum(r.generated_tokens for r in reports), 21 * 5)
+
+    def test_counts_behind_a_cut_come_late(self) -> None:
+        """A host cut off while its window is sealed carries its counts over."""
+        hosts = build_hosts()
+        hosts.cut("h2", PLATFORM_NAME)
+        self.serve(hosts, "h2", 4)
+        self.serve(hosts, "h1", 3)
+        hosts.run_for(20)
+        self.assertEqual(sum(r.requests for r in list_reports(hosts)), 3)
+        hosts.heal()
+        hosts.run_for(40)
+        self.assertEqual(sum(r.requests for r in list_reports(hosts)), 7)
+
+    def test_part_written_after_the_seal_comes_late(self) -> None:
+        """Counts flushed too late for the seal are not lost."""
+        hosts = build_hosts()
+        self.serve(hosts, "h2", 2)
+        hosts.run_for(3)
+        hosts.pause("h2")
+        self.serve(hosts, "h1", 3)
+        hosts.run_for(20)
+        hosts.resume("h2")
+        self.serve(hosts, "h2", 1)
+        hosts.run_for(40)
+        self.assertEqual(sum(r.requests for r in list_reports(hosts)), 6)
+
+    def test_planned_stop_loses_nothing(self) -> None:
+        """A daemon that drains flushes its counts before it ends."""
+        hosts = build_hosts()
+        self.serve(hosts, "h2", 5)
+        hosts.send(hosts.daemons["h2"], lambda at: DrainRequested(at=at))
+        hosts.run_for(40)
+        self.assertFalse(hosts.daemons["h2"].is_alive)
+        self.assertEqual(sum(r.requests for r in list_reports(hosts)), 5)
--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -66,9 +66,13 @@
 
 @attrs.frozen(kw_only=True)
 class PlatformAnswered(Event):
-    """The platform answered a call that was made at `asked_at`."""
+    """The platform answered a call that was made at `asked_at`.
+
+    `wall_time` is in seconds since the epoch.
+    """
 
     asked_at: float
+    wall_time: float
     purpose: Purpose
     answer: Answer
     draws: tuple[float, float]
@@ -113,6 +117,7 @@
 
 @attrs.frozen(kw_only=True)
 class Ticked(Event):
-    """Time passed."""
+    """Time passed; `wall_time` is in seconds since the epoch."""
 
+    wall_time: float
     draws: tuple[float, float]
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/__init__.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/__init__.py
@@ -10,9 +10,12 @@
     borrowing,
     catalogue,
     claim_answers,
+    leases,
     lifecycle,
     membership,
     platform,
+    sealing,
+    usage,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
 
@@ -24,7 +27,10 @@
     "borrowing",
     "catalogue",
     "claim_answers",
+    "leases",
     "lifecycle",
     "membership",
     "platform",
+    "sealing",
+    "usage",
 ]
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -23,6 +23,7 @@
 from geraniumhall_core.requests import AttemptOutcome, Phase, RequestRecord
 from geraniumhall_core.routing import ROUTING_POLICIES, RoutingQuery, ServerView
 from geraniumhall_core.state import DaemonState
+from geraniumhall_core.usage import UsageFigures
 from geraniumhall_core.verdict import Verdict
 
 SERVER_FAULTS = frozenset(
@@ -223,13 +224,8 @@
         state.counters["requests.completed"] += 1
     state.counters["tokens.prompt"] += event.prompt_tokens
     state.counters["tokens.generated"] += event.generated_tokens
-    state.usage.add(
-        event.wall_time,
-        record.workspace,
-        record.entry,
-        event.prompt_tokens,
-        event.generated_tokens,
-    )
+    figures = UsageFigures(1, event.prompt_tokens, event.generated_tokens)
+    state.usage.add(event.wall_time, (record.workspace, record.entry), figures)
     surplus = event.prompt_tokens - record.request.prompt_tokens
     _charge_service(state, record, max(0, surplus), event.generated_tokens)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -1,6 +1,7 @@
 """Time, metrics, dumps and the planned stop of the process."""
 
 from collections.abc import Iterator
+from math import inf
 
 from geraniumhall_core.effects import (
     EmitMetrics,
@@ -14,12 +15,15 @@
 from geraniumhall_core.events import DrainRequested, DumpRequested, Ticked
 from geraniumhall_core.handlers.attempts import expire_waiting
 from geraniumhall_core.handlers.catalogue import resume_sync
+from geraniumhall_core.handlers.leases import give_up_leases, tend_leases
 from geraniumhall_core.handlers.membership import (
     note_joined,
     pull_from_peers,
     unregister_host,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.handlers.sealing import tend_sealing
+from geraniumhall_core.handlers.usage import flush_usage, settle_usage
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
@@ -31,6 +35,10 @@
     yield from resume_sync(state, event.at)
     yield from pull_from_peers(state, event.at)
     yield from note_joined(state)
+    yield from tend_leases(state, event.at)
+    yield from flush_usage(state, event.at, event.wall_time)
+    yield from settle_usage(state, event.at, event.wall_time)
+    yield from tend_sealing(state, event.at)
     yield from _report_metrics(state, event.at)
     yield from _advance_drain(state, event.at)
 
@@ -65,13 +73,24 @@
     if not drain.stopped_listening:
         drain.stopped_listening = True
         yield StopListening()
+    if not drain.is_handing_over and not state.requests:
+        drain.is_handing_over = True
+        yield from give_up_leases(state, now)
+        yield from flush_usage(state, now, inf)
         yield from unregister_host(state)
-    if not state.requests:
+    if drain.is_handing_over and not _is_flushing(state):
         drain.ended = True
         yield WriteLog(level="info", event="drain_finished")
         yield EndProcess()
 
 
+def _is_flushing(state: DaemonState) -> bool:
+    """Tell whether counts are still on their way to the platform."""
+    windows = state.usage.windows.values()
+    has_failed = state.platform_failures > 0
+    return any(w.is_calling for w in windows) and not has_failed
+
+
 def _report_metrics(state: DaemonState, now: float) -> Iterator[Effect]:
     metrics = state.metrics
     if now - metrics.reported_at < state.policy.metrics_interval:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
@@ -29,6 +29,14 @@
     return len(before) < policy.watchers_per_domain
 
 
+def rank_self(state: DaemonState, now: float) -> int:
+    """Return how many live daemons come before this one by name."""
+    return sum(
+        host < state.policy.host and is_live(state, known, now)
+        for host, known in state.membership.known.items()
+    )
+
+
 def list_peer_addresses(state: DaemonState) -> dict[str, str]:
     """Return the peer address of every other daemon by host."""
     records = state.catalogue.hosts
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -32,5 +32,11 @@
     pull_interval: float = 1.0
     suspect_after: float = 5.0
     watchers_per_domain: int = 2
+    lease_ttl: float = 9.0
+    lease_margin: float = 1.0
+    flush_interval: float = 10.0
+    seal_grace: float = 15.0
+    settle_grace: float = 30.0
+    seals_kept: int = 60
     prefill_price: float = 1.0
     decode_price: float = 4.0
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -2,8 +2,10 @@
 
 import attrs
 
+from geraniumhall_core.leases import Lease
 from geraniumhall_core.platform import DeleteObject, Message, PutObject
 from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.usage import UsageLine, UsageSeal
 
 
 @attrs.frozen
@@ -26,6 +28,63 @@
     """Take this daemon out of the catalogue at its planned end."""
 
 
+@attrs.frozen
+class TendLease(Purpose):
+    """Read a lease, or write `written` as its new state."""
+
+    name: str
+    written: Lease | None = None
+
+
+@attrs.frozen
+class GiveUpLease(Purpose):
+    """Free a lease at a planned stop."""
+
+
+@attrs.frozen
+class FlushUsage(Purpose):
+    """Write this process's counts of a window, as the part `sequence`."""
+
+    window: int
+    sequence: int
+
+
+@attrs.frozen
+class SettleUsage(Purpose):
+    """Read a window's seal, to compare it with this process's counts."""
+
+    window: int
+
+
+@attrs.frozen
+class ListUsage(Purpose):
+    """Read all parts and seals, to find what is to be done."""
+
+
+@attrs.frozen
+class SealUsage(Purpose):
+    """Write the final figures of a window."""
+
+    seal: UsageSeal
+
+
+@attrs.frozen
+class ReportSealed(Purpose):
+    """Report one workspace's figures of a sealed window."""
+
+    line: UsageLine
+
+
+@attrs.frozen
+class FinishSeal(Purpose):
+    """Mark a seal as reported."""
+
+
+@attrs.frozen
+class RemoveUsage(Purpose):
+    """Remove a part or seal that is no longer needed."""
+
+
 @attrs.frozen
 class TakeClaim(Purpose):
     """Create the claim of a request."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -7,12 +7,13 @@
 from geraniumhall_core.catalogue import Catalogue
 from geraniumhall_core.fairness import EntryQueue
 from geraniumhall_core.fleet import ServerLoad
+from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import BorrowRound, LenderLevel, TokenBucket
 from geraniumhall_core.peering import Member, Membership
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.requests import RequestRecord
 from geraniumhall_core.retries import RetryBudget
-from geraniumhall_core.usage import UsageLedger
+from geraniumhall_core.usage import SealingState, UsageLedger
 
 
 @attrs.define
@@ -21,6 +22,7 @@
 
     requested_at: float | None = None
     stopped_listening: bool = False
+    is_handing_over: bool = False
     ended: bool = False
 
 
@@ -71,6 +73,8 @@
     queues: dict[str, EntryQueue] = attrs.field(factory=dict)
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
     turn: int = 0
+    leases: dict[str, LeaseState] = attrs.field(factory=dict)
+    sealing: SealingState = attrs.field(factory=SealingState)
     drain: DrainState = attrs.field(factory=DrainState)
     counters: Counter[str] = attrs.field(factory=Counter)
     metrics: MetricsState = attrs.field(factory=MetricsState)
--- a/packages/geraniumhall-core/tests/builders.py
+++ b/packages/geraniumhall-core/tests/builders.py
@@ -95,7 +95,7 @@
 def build_answer(purpose: Any, answer: Any, at: float = NOW) -> PlatformAnswered:
     """Return the event of a platform's answer."""
     return PlatformAnswered(
-        at=at, asked_at=at, purpose=purpose, answer=answer, draws=DRAWS
+        at=at, asked_at=at, wall_time=at, purpose=purpose, answer=answer, draws=DRAWS
     )
 
 
--- a/packages/geraniumhall-core/tests/test_admission.py
+++ b/packages/geraniumhall-core/tests/test_admission.py
@@ -144,7 +144,7 @@
     def test_waiting_request_expires(self) -> None:
         """A waiting request is refused at its deadline, as not run."""
         state = self.build_busy_state()
-        effects = reduce(state, Ticked(at=11.5, draws=(0.0, 0.0)))
+        effects = reduce(state, Ticked(at=11.5, wall_time=11.5, draws=(0.0, 0.0)))
         refusal = find_effect(effects, RefuseRequest).refusal
         self.assertEqual(
             (refusal.code, refusal.verdict), ("deadline_exceeded", Verdict.NOT_RUN)
--- a/packages/geraniumhall-core/tests/test_attempts.py
+++ b/packages/geraniumhall-core/tests/test_attempts.py
@@ -18,7 +18,7 @@
 )
 from geraniumhall_core.events import ResponseStarted
 from geraniumhall_core.requests import AttemptOutcome, PathTarget
-from geraniumhall_core.usage import UsageFigures, UsageKey
+from geraniumhall_core.usage import UsageFigures
 from geraniumhall_core.verdict import Verdict
 
 FILING = PathTarget("/filings")
@@ -99,8 +99,8 @@
             generated_tokens=9,
         )
         find_effect(reduce(state, end), CloseExchange)
-        key = UsageKey(0, "audit", "draft")
-        self.assertEqual(state.usage.figures, {key: UsageFigures(1, 7, 9)})
+        table = state.usage.windows[0].table
+        self.assertEqual(table, {("audit", "draft"): UsageFigures(1, 7, 9)})
 
     def test_no_state_is_left(self) -> None:
         """After the end nothing of the request remains."""
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -157,7 +157,13 @@
         address = self.peers.address if self.peers else ""
         self.dispatch(DaemonStarted(at=self.read_now(), peer_address=address))
         while not self.ended.is_set():
-            self.dispatch(Ticked(at=self.read_now(), draws=self.draw()))
+            self.dispatch(
+                Ticked(
+                    at=self.read_now(),
+                    wall_time=self.clock.read_wall_time(),
+                    draws=self.draw(),
+                )
+            )
             with trio.move_on_after(TICK_SECONDS):
                 await self.ended.wait()
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
@@ -41,6 +41,7 @@
         PlatformAnswered(
             at=daemon.read_now(),
             asked_at=asked_at,
+            wall_time=daemon.clock.read_wall_time(),
             purpose=effect.purpose,
             answer=answer,
             draws=daemon.draw(),
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/description.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/description.py
@@ -37,6 +37,8 @@
 
 
 def _describe_key(key: Any) -> str:
+    if isinstance(key, tuple):
+        return "/".join(str(part) for part in key)
     if attrs.has(type(key)):
         return "/".join(str(part) for part in attrs.astuple(key))
     return str(key)
