Send orders to backend servers under a lease, recorded before they leave

Cause: nothing kept two daemons from sending a server different orders. Change: an operator's wish for a server becomes an intent in the platform by conditional write, under the lease of the server's failure domain, then an order with a token above every earlier one. A server that does not check tokens gets a different order only after the earlier one's own sender recorded its answer; after a lost answer or a lost sender it gets the same one or none. Leases are spread over the daemons by rendezvous hashing. Usage and lease times are settings. Ruled out: taking one's own repeated order as proof for an unfenced server, since the first copy may still be on its way.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/steps.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps.py
@@ -305,10 +305,14 @@
 @STEPS.register("expect_calls")
 @attrs.frozen(kw_only=True)
 class ExpectCalls:
-    """Check what a stand-in received: how many calls, and no text in them."""
+    """Check what a stand-in received: how many calls, and no text in them.
+
+    Only calls whose path begins with `path` and whose body holds `body` count.
+    """
 
     at: str
     path: str = ""
+    body: str = ""
     count: int | None = None
     without: tuple[str, ...] = ()
 
@@ -319,13 +323,16 @@
         response = await request_whole(
             world.pool, address, request, ADMIN_TIMEOUT_SECONDS
         )
-        calls = [c for c in loads(response.body) if c["target"].startswith(self.path)]
+        calls = [c for c in loads(response.body) if self._is_meant(c)]
         if self.count is not None:
             _compare("calls", len(calls), self.count, response.body)
         for name in self.without:
             if world.find(name) in response.body.decode():
                 raise ExpectationError(f"{self.at} received {name}")
 
+    def _is_meant(self, call: dict[str, Any]) -> bool:
+        return call["target"].startswith(self.path) and self.body in call["body"]
+
 
 @STEPS.register("signal")
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/virtual_hosts.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/virtual_hosts.py
@@ -26,6 +26,7 @@
     EndProcess,
     RefuseRequest,
     RelayRequest,
+    SendOrder,
     StopListening,
     WriteDump,
     WriteLog,
@@ -34,6 +35,7 @@
     AdminCalled,
     AttemptEnded,
     DaemonStarted,
+    OrderAnswered,
     PeerAnswered,
     PeerCalled,
     PlatformAnswered,
@@ -41,6 +43,7 @@
     Ticked,
 )
 from geraniumhall_core.handlers import REDUCER
+from geraniumhall_core.orders import OrderIntent, OrderOutcome
 from geraniumhall_core.peering import PeerAnswer, PeerFailure
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.platform import Answer, PlatformFailure
@@ -81,6 +84,22 @@
     log: list[WriteLog] = attrs.field(factory=list)
 
 
+@attrs.define
+class VirtualServer:
+    """A backend server and the orders that it took, in order."""
+
+    taken: list[tuple[float, OrderIntent]] = attrs.field(factory=list)
+    highest_token: int = 0
+
+    def take(self, at: float, intent: OrderIntent, checks_fencing: bool) -> bool:
+        """Take an order, or reject it for its token."""
+        if checks_fencing and intent.fencing_token < self.highest_token:
+            return False
+        self.highest_token = max(self.highest_token, intent.fencing_token)
+        self.taken.append((at, intent))
+        return True
+
+
 @attrs.frozen
 class Started:
     """A request that was sent to a backend server."""
@@ -114,6 +133,9 @@
     daemons: dict[str, VirtualDaemon] = attrs.field(factory=dict)
     cuts: set[tuple[str, str]] = attrs.field(factory=set)
     lost_replies: int = 0
+    lost_order_answers: int = 0
+    order_latency: float = 0.01
+    servers: dict[str, VirtualServer] = attrs.field(factory=dict)
     started: list[Started] = attrs.field(factory=list)
     refused: list[Refused] = attrs.field(factory=list)
     admin_answers: dict[int, AdminAnswer] = attrs.field(factory=dict)
@@ -205,6 +227,32 @@
         """Do something later."""
         self._schedule(seconds, action)
 
+    def reach_server(self, daemon: VirtualDaemon, effect: SendOrder) -> None:
+        """Let a backend server take an order, unless the sender is paused.
+
+        An order of a killed sender may have left before, so it arrives.
+        """
+        if daemon.is_paused:
+            self._schedule(TICK_SECONDS, lambda: self.reach_server(daemon, effect))
+            return
+        server = self.servers.setdefault(effect.server, VirtualServer())
+        checks = daemon.state.catalogue.servers[effect.server].checks_fencing
+        is_taken = server.take(self.now, effect.intent, checks)
+        outcome = OrderOutcome.ACCEPTED if is_taken else OrderOutcome.REJECTED
+        if self.lost_order_answers:
+            self.lost_order_answers -= 1
+            outcome = OrderOutcome.UNKNOWN
+        self.send(
+            daemon,
+            lambda at: OrderAnswered(
+                at=at,
+                server=effect.server,
+                intent=effect.intent,
+                version=effect.version,
+                outcome=outcome,
+            ),
+        )
+
     def draw(self) -> tuple[float, float]:
         """Return two random numbers for an event."""
         return self.random.random(), self.random.random()
@@ -385,6 +433,16 @@
     hosts.after(hosts.service_seconds, end)
 
 
+@VIRTUAL_PERFORMERS.performs(SendOrder)
+def send_order(place: Place, effect: SendOrder) -> None:
+    """Carry an order to a backend server and its answer back.
+
+    A daemon paused now sends the order when it goes on.
+    """
+    hosts, daemon = place
+    hosts.after(hosts.order_latency, lambda: hosts.reach_server(daemon, effect))
+
+
 @VIRTUAL_PERFORMERS.performs(RefuseRequest)
 def refuse_request(place: Place, effect: RefuseRequest) -> None:
     """Note a refusal."""
--- /dev/null
+++ b/packages/geraniumhall-bench/tests/test_orders.py
@@ -0,0 +1,216 @@
+"""An engine never receives conflicting orders, whoever believes to be in charge."""
+
+import os
+import unittest
+from random import Random
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from geraniumhall_bench.virtual_hosts import PLATFORM_NAME, VirtualHosts
+from geraniumhall_core.admin import WriteRecord
+from geraniumhall_core.catalogue import BackendServer
+from geraniumhall_core.handlers.leases import find_term
+from geraniumhall_core.orders import IntentStatus, ServerRole, ServerWish
+from geraniumhall_core.records import ObjectKey
+
+NAMES = ("h0", "h1", "h2")
+PLACES = (*NAMES, PLATFORM_NAME)
+SERVERS = {"fenced": True, "unfenced": False}
+LEASE = "orders.a"
+SETTLE_SECONDS = 8.0
+POLICY = {"lease_ttl": 3.0, "lease_margin": 0.5}
+EXAMPLES = int(os.environ.get("GERANIUMHALL_EXAMPLES", "20"))
+STEPS = int(os.environ.get("GERANIUMHALL_STEPS", "25"))
+
+
+def build_hosts() -> VirtualHosts:
+    """Return three joined daemons and a server of each kind."""
+    hosts = VirtualHosts(Random(9))
+    for name in NAMES:
+        hosts.start(name, **POLICY)
+    hosts.run_for(SETTLE_SECONDS)
+    for name, checks_fencing in SERVERS.items():
+        server = BackendServer(
+            address="10.0.0.1:80",
+            failure_domain="a",
+            entries=(),
+            checks_fencing=checks_fencing,
+        )
+        hosts.call_admin("h0", WriteRecord(ObjectKey("server", name), server, 0))
+        wish_for(hosts, "h0", name, ServerRole.BOTH)
+    hosts.run_for(SETTLE_SECONDS)
+    return hosts
+
+
+def wish_for(hosts: VirtualHosts, via: str, server: str, role: ServerRole) -> None:
+    """Ask for a role through a daemon."""
+    key = ObjectKey("wish", server)
+    found = hosts.platform.objects.get(key)
+    version = found.version if found else 0
+    hosts.call_admin(via, WriteRecord(key, ServerWish(role=role), version))
+
+
+def find_holder(hosts: VirtualHosts) -> str:
+    """Return the daemon in charge of the servers."""
+    return next(
+        name
+        for name, daemon in hosts.daemons.items()
+        if find_term(daemon.state, LEASE, hosts.now) is not None
+    )
+
+
+def list_tokens(hosts: VirtualHosts, server: str) -> list[int]:
+    """Return the fencing tokens of the orders that a server took, in order."""
+    return [intent.fencing_token for _, intent in hosts.servers[server].taken]
+
+
+def find_status(hosts: VirtualHosts, server: str) -> IntentStatus:
+    """Return what the platform says of a server's last order."""
+    return hosts.platform.objects[ObjectKey("intent", server)].record.status
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Wishes, pauses, kills, cuts and lost answers over three daemons."""
+
+    @initialize()
+    def start(self) -> None:
+        """Start the daemons."""
+        self.hosts = build_hosts()
+
+    @rule(
+        via=st.sampled_from(NAMES),
+        server=st.sampled_from(sorted(SERVERS)),
+        role=st.sampled_from(list(ServerRole)),
+    )
+    def wish(self, via: str, server: str, role: ServerRole) -> None:
+        """Ask for another role."""
+        wish_for(self.hosts, via, server, role)
+
+    @rule(seconds=st.sampled_from([0.005, 0.02, 0.3, 2.0, 6.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.hosts.run_for(seconds)
+
+    @rule(host=st.sampled_from(NAMES))
+    def pause(self, host: str) -> None:
+        """Pause a daemon, perhaps between its check and its sending."""
+        self.hosts.pause(host)
+
+    @rule(host=st.sampled_from(NAMES))
+    def resume(self, host: str) -> None:
+        """Let a paused daemon go on."""
+        self.hosts.resume(host)
+
+    @rule(host=st.sampled_from(NAMES))
+    def restart(self, host: str) -> None:
+        """Kill a daemon and start another on its host."""
+        self.hosts.kill(host)
+        self.hosts.start(host, **POLICY)
+
+    @rule(one=st.sampled_from(NAMES), other=st.sampled_from(PLACES), both=st.booleans())
+    def cut(self, one: str, other: str, both: bool) -> None:
+        """Cut one direction or both."""
+        self.hosts.cut(one, other, both)
+
+    @rule()
+    def heal(self) -> None:
+        """Undo the cuts."""
+        self.hosts.heal()
+
+    @rule(replies=st.integers(0, 2), answers=st.integers(0, 2))
+    def lose(self, replies: int, answers: int) -> None:
+        """Lose replies of the platform and answers of servers."""
+        self.hosts.lost_replies = replies
+        self.hosts.lost_order_answers = answers
+
+    @invariant()
+    def takes_no_older_order(self) -> None:
+        """No server takes an order after a newer one."""
+        if not hasattr(self, "hosts"):
+            return
+        for server in self.hosts.servers:
+            tokens = list_tokens(self.hosts, server)
+            assert tokens == sorted(tokens)
+
+
+@seed(20261204)
+@settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    phases=(Phase.explicit, Phase.generate),
+    suppress_health_check=list(HealthCheck),
+)
+class SeededOrderMachine(OrderMachine):
+    """The machine with its fixed seed."""
+
+
+class OrderHistoryTest(SeededOrderMachine.TestCase):  # type: ignore[name-defined, misc]
+    """Random histories bring no server an older order."""
+
+
+class OrderTest(unittest.TestCase):
+    """Orders are recorded, sent, answered, and held back where in doubt."""
+
+    def test_wish_reaches_both_kinds(self) -> None:
+        """Without faults every wish is carried out."""
+        hosts = build_hosts()
+        for server in SERVERS:
+            wish_for(hosts, "h1", server, ServerRole.PREFILL)
+        hosts.run_for(SETTLE_SECONDS)
+        for server in SERVERS:
+            taken = hosts.servers[server].taken
+            self.assertEqual(taken[-1][1].role, ServerRole.PREFILL)
+            self.assertIs(find_status(hosts, server), IntentStatus.DONE)
+
+    def pause_before_sending(self, server: str) -> tuple[VirtualHosts, str]:
+        """Pause the sender after its check and before its order leaves."""
+        hosts = build_hosts()
+        holder = find_holder(hosts)
+        hosts.order_latency = 0.05
+        wish_for(hosts, holder, server, ServerRole.PREFILL)
+        key = ObjectKey("intent", server)
+        while hosts.platform.objects[key].record.role is not ServerRole.PREFILL:
+            hosts.run_for(0.005)
+        hosts.run_for(0.01)
+        hosts.pause(holder)
+        other = next(name for name in NAMES if name != holder)
+        wish_for(hosts, other, server, ServerRole.DECODE)
+        hosts.run_for(20)
+        return hosts, holder
+
+    def test_fenced_server_rejects_the_late_order(self) -> None:
+        """The successor's order stands; the late one is rejected."""
+        hosts, holder = self.pause_before_sending("fenced")
+        hosts.resume(holder)
+        hosts.run_for(SETTLE_SECONDS)
+        roles = [intent.role for _, intent in hosts.servers["fenced"].taken]
+        self.assertEqual(roles, [ServerRole.BOTH, ServerRole.DECODE])
+
+    def test_unfenced_server_gets_no_other_order_meanwhile(self) -> None:
+        """While the sender may still send, nobody sends a different order."""
+        hosts, _ = self.pause_before_sending("unfenced")
+        roles = [intent.role for _, intent in hosts.servers["unfenced"].taken]
+        self.assertEqual(roles, [ServerRole.BOTH])
+
+    def test_unfenced_server_goes_on_once_the_sender_answered(self) -> None:
+        """When the sender has recorded its answer, the next order goes out."""
+        hosts, holder = self.pause_before_sending("unfenced")
+        hosts.resume(holder)
+        hosts.run_for(2 * SETTLE_SECONDS)
+        roles = [intent.role for _, intent in hosts.servers["unfenced"].taken]
+        expected = [ServerRole.BOTH, ServerRole.PREFILL, ServerRole.DECODE]
+        self.assertEqual(roles, expected)
+
+    def test_lost_answer_blocks_other_orders_of_unfenced(self) -> None:
+        """After a lost answer an unfenced server gets the same order only."""
+        hosts = build_hosts()
+        hosts.lost_order_answers = 1
+        wish_for(hosts, "h0", "unfenced", ServerRole.PREFILL)
+        hosts.run_for(SETTLE_SECONDS)
+        wish_for(hosts, "h0", "unfenced", ServerRole.DECODE)
+        hosts.run_for(SETTLE_SECONDS)
+        roles = {intent.role for _, intent in hosts.servers["unfenced"].taken[1:]}
+        self.assertEqual(roles, {ServerRole.PREFILL})
--- a/packages/geraniumhall-cli/src/geraniumhall_cli/main.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/main.py
@@ -1,6 +1,7 @@
 """The binary geraniumhall: the operators' command line."""
 
 import os
+import signal
 import sys
 
 from fire import Fire
@@ -15,7 +16,8 @@
 
 
 def main() -> None:
-    """Run the binary."""
+    """Run the binary; SIGTERM ends it like an interrupt, children included."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     arguments, admin, as_json = _split_options(sys.argv[1:])
     try:
         Fire(Commands.from_options(admin, as_json), arguments, name="geraniumhall")
--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -11,6 +11,7 @@
 import attrs
 
 from geraniumhall_core.keys import KeyRecord
+from geraniumhall_core.orders import ServerWish
 from geraniumhall_core.peering import HostRecord
 from geraniumhall_core.records import (
     DELETED,
@@ -19,7 +20,7 @@
     VersionedRecord,
 )
 
-CATALOGUE_KINDS = ("entry", "workspace", "key", "server", "host")
+CATALOGUE_KINDS = ("entry", "workspace", "key", "server", "host", "wish")
 
 
 class ServiceClass(Enum):
@@ -143,6 +144,11 @@
         """Records of hosts whose daemons are registered, by host."""
         return self.tables["host"]
 
+    @property
+    def wishes(self) -> dict[str, ServerWish]:
+        """Roles that operators want, by backend server."""
+        return self.tables["wish"]
+
     def list_changes(self, after: int) -> tuple[VersionedRecord, ...]:
         """Return the newest version of each object that changed after `after`.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -3,6 +3,7 @@
 import attrs
 
 from geraniumhall_core.admin import AdminAnswer
+from geraniumhall_core.orders import OrderIntent
 from geraniumhall_core.peering import PeerAnswer, PeerMessage
 from geraniumhall_core.platform import Message
 from geraniumhall_core.purposes import Purpose
@@ -84,6 +85,20 @@
     answer: PeerAnswer
 
 
+@attrs.frozen(kw_only=True)
+class SendOrder(Effect):
+    """Send an order to a backend server; `timeout` is in seconds.
+
+    `version` is that of the recorded intent.
+    """
+
+    server: str
+    address: str
+    intent: OrderIntent
+    version: int
+    timeout: float
+
+
 @attrs.frozen(kw_only=True)
 class StopListening(Effect):
     """Accept no more connections and close the idle ones."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -7,6 +7,7 @@
 import attrs
 
 from geraniumhall_core.admin import AdminCommand
+from geraniumhall_core.orders import OrderIntent, OrderOutcome
 from geraniumhall_core.peering import PeerAnswer, PeerMessage
 from geraniumhall_core.platform import Answer
 from geraniumhall_core.purposes import Purpose
@@ -105,6 +106,16 @@
     draws: tuple[float, float]
 
 
+@attrs.frozen(kw_only=True)
+class OrderAnswered(Event):
+    """Sending an order to a backend server ended."""
+
+    server: str
+    intent: OrderIntent
+    version: int
+    outcome: OrderOutcome
+
+
 @attrs.frozen(kw_only=True)
 class DrainRequested(Event):
     """A planned stop was asked for, by signal or by an operator."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
@@ -50,6 +50,7 @@
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.keys import KeyRecord
+from geraniumhall_core.orders import ServerWish
 from geraniumhall_core.platform import (
     Answer,
     Conflict,
@@ -272,6 +273,12 @@
     return None
 
 
+@RECORD_CHECKS.register(ServerWish)
+def check_wish(state: DaemonState, record: ServerWish) -> InvalidRecord | None:
+    """Accept any role; the wish of an unknown server waits for it."""
+    return None
+
+
 @RECORD_CHECKS.register(BackendServer)
 def check_server(state: DaemonState, record: BackendServer) -> InvalidRecord | None:
     """Check that the address has a host and a port."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -37,18 +37,11 @@
     """Renew what is held, and look after what may be taken."""
     if state.is_draining or not state.catalogue.revision:
         return
-    for name in list_lease_names(state, now):
+    for name in _list_lease_names(state):
         lease = state.leases.setdefault(name, LeaseState())
-        if lease.is_calling or now < lease.next_call_at:
-            continue
-        lease.is_calling = True
-        lease.next_call_at = now + state.policy.lease_ttl * CALL_FRACTION
-        if find_term(state, name, now) is not None:
-            yield _write_lease(state, name, lease, lease.term, now)
-        else:
-            yield CallPlatform(
-                purpose=TendLease(name), message=GetObject(_name_lease(name))
-            )
+        if not lease.is_calling and now >= lease.next_call_at:
+            lease.next_call_at = now + state.policy.lease_ttl * CALL_FRACTION
+            yield from _tend_lease(state, name, lease, now)
 
 
 def give_up_leases(state: DaemonState, now: float) -> Iterator[Effect]:
@@ -64,12 +57,9 @@
             yield CallPlatform(purpose=GiveUpLease(), message=message)
 
 
-def list_lease_names(state: DaemonState, now: float) -> list[str]:
-    """Return the leases that this daemon is a candidate for."""
-    held = [n for n in state.leases if find_term(state, n, now) is not None]
-    is_candidate = rank_self(state, now) < CANDIDATES
-    names = {*held, USAGE_LEASE} if is_candidate else set(held)
-    return sorted(names)
+def name_order_lease(failure_domain: str) -> str:
+    """Return the lease for orders to the servers of a failure domain."""
+    return f"orders.{failure_domain}"
 
 
 @ANSWER_HANDLERS.register(TendLease)
@@ -102,6 +92,28 @@
     yield from ()
 
 
+def _list_lease_names(state: DaemonState) -> list[str]:
+    servers = state.catalogue.servers
+    domains = {
+        servers[name].failure_domain
+        for name in state.catalogue.wishes
+        if name in servers
+    }
+    return [USAGE_LEASE, *(name_order_lease(domain) for domain in sorted(domains))]
+
+
+def _tend_lease(
+    state: DaemonState, name: str, lease: LeaseState, now: float
+) -> Iterator[Effect]:
+    if find_term(state, name, now) is not None:
+        lease.is_calling = True
+        yield _write_lease(state, name, lease, lease.term, now)
+    elif rank_self(state, name, now) < CANDIDATES:
+        lease.is_calling = True
+        message = GetObject(_name_lease(name))
+        yield CallPlatform(purpose=TendLease(name), message=message)
+
+
 def _judge_found(
     state: DaemonState, name: str, lease: LeaseState, now: float
 ) -> Iterator[Effect]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -21,6 +21,7 @@
     pull_from_peers,
     unregister_host,
 )
+from geraniumhall_core.handlers.orders import tend_orders
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.sealing import tend_sealing
 from geraniumhall_core.handlers.usage import flush_usage, settle_usage
@@ -39,6 +40,7 @@
     yield from flush_usage(state, event.at, event.wall_time)
     yield from settle_usage(state, event.at, event.wall_time)
     yield from tend_sealing(state, event.at)
+    yield from tend_orders(state, event.at)
     yield from _report_metrics(state, event.at)
     yield from _advance_drain(state, event.at)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
@@ -1,5 +1,7 @@
 """What follows from the members that a daemon knows."""
 
+from xxhash import xxh64_intdigest
+
 from geraniumhall_core.peering import KnownMember
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.state import DaemonState
@@ -29,10 +31,14 @@
     return len(before) < policy.watchers_per_domain
 
 
-def rank_self(state: DaemonState, now: float) -> int:
-    """Return how many live daemons come before this one by name."""
+def rank_self(state: DaemonState, lease: str, now: float) -> int:
+    """Return how many live daemons come before this one for a lease.
+
+    Rendezvous hashing spreads the leases over the daemons.
+    """
+    own = _score_host(state.policy.host, lease)
     return sum(
-        host < state.policy.host and is_live(state, known, now)
+        _score_host(host, lease) > own and is_live(state, known, now)
         for host, known in state.membership.known.items()
     )
 
@@ -49,6 +55,10 @@
     return addresses
 
 
+def _score_host(host: str, lease: str) -> int:
+    return xxh64_intdigest(f"{lease}/{host}")
+
+
 def has_joined(state: DaemonState) -> bool:
     """Tell whether every other daemon knows of this one.
 
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/orders.py
@@ -0,0 +1,194 @@
+"""Brings backend servers to the roles that operators want."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from geraniumhall_core.effects import CallPlatform, LogField, SendOrder, WriteLog
+from geraniumhall_core.events import OrderAnswered, PlatformAnswered
+from geraniumhall_core.handlers.leases import find_term, name_order_lease
+from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
+from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.orders import (
+    IntentStatus,
+    OrderIntent,
+    OrderOutcome,
+    OrderState,
+    ServerWish,
+    choose_token,
+    may_replace,
+)
+from geraniumhall_core.platform import (
+    GetObject,
+    ObjectFound,
+    ObjectMissing,
+    PutObject,
+    Written,
+)
+from geraniumhall_core.purposes import RecordOrder, StartOrder, TendOrder
+from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.reducer import Effect
+from geraniumhall_core.state import DaemonState
+
+ORDER_INTERVAL_SECONDS = 2.0
+ORDER_TIMEOUT_SECONDS = 5.0
+
+STATUS_BY_OUTCOME = {
+    OrderOutcome.ACCEPTED: IntentStatus.DONE,
+    OrderOutcome.REJECTED: IntentStatus.REJECTED,
+    OrderOutcome.NOT_SENT: IntentStatus.REJECTED,
+    OrderOutcome.UNKNOWN: IntentStatus.DOUBTFUL,
+}
+
+
+def tend_orders(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Look after the backend servers of the failure domains in charge."""
+    for name in state.catalogue.wishes:
+        if _find_server_term(state, name, now) is None:
+            continue
+        order = state.orders.setdefault(name, OrderState())
+        if order.is_calling or order.is_sending or now < order.next_call_at:
+            continue
+        order.is_calling = True
+        order.next_call_at = now + ORDER_INTERVAL_SECONDS
+        yield CallPlatform(
+            purpose=TendOrder(name), message=GetObject(_name_intent(name))
+        )
+
+
+@ANSWER_HANDLERS.register(TendOrder)
+def judge_intent(
+    state: DaemonState, event: PlatformAnswered, purpose: TendOrder
+) -> Iterator[Effect]:
+    """Send what is wanted, if what stands in the platform allows it."""
+    order = state.orders[purpose.server]
+    order.is_calling = False
+    term = _find_server_term(state, purpose.server, event.at)
+    wish = state.catalogue.wishes.get(purpose.server)
+    if term is None or wish is None:
+        return
+    if isinstance(event.answer, ObjectMissing):
+        yield from _start_order(state, purpose.server, wish, term, None, 0)
+    elif isinstance(event.answer, ObjectFound):
+        found = event.answer.object
+        yield from _follow_intent(
+            state, purpose.server, wish, term, found.record, found.version
+        )
+
+
+@ANSWER_HANDLERS.register(StartOrder)
+def send_order(
+    state: DaemonState, event: PlatformAnswered, purpose: StartOrder
+) -> Iterator[Effect]:
+    """Send an order once its intent is recorded and authority still holds.
+
+    Without a reply nothing is sent; the next look at the platform tells.
+    """
+    order = state.orders[purpose.server]
+    order.is_calling = False
+    has_authority = _find_server_term(state, purpose.server, event.at) is not None
+    if isinstance(event.answer, Written) and has_authority:
+        version = event.answer.version
+        yield from _send(state, purpose.server, purpose.intent, version)
+
+
+@REDUCER.handles(OrderAnswered)
+def record_answer(state: DaemonState, event: OrderAnswered) -> Iterator[Effect]:
+    """Record what became of this process's own order."""
+    order = state.orders[event.server]
+    order.is_sending = False
+    fields = (
+        LogField("server", event.server),
+        LogField("role", event.intent.role.value),
+        LogField("outcome", event.outcome.value),
+    )
+    yield WriteLog(level="info", event="order_answered", fields=fields)
+    if event.outcome is OrderOutcome.UNKNOWN:
+        order.doubtful_tokens.add(event.intent.fencing_token)
+    status = STATUS_BY_OUTCOME[event.outcome]
+    if event.intent.fencing_token in order.doubtful_tokens:
+        status = IntentStatus.DOUBTFUL
+    if event.intent.status is IntentStatus.DOUBTFUL:
+        return
+    if not event.intent.is_by(state.policy.host, state.policy.incarnation):
+        return
+    answered = attrs.evolve(event.intent, status=status)
+    message = PutObject(_name_intent(event.server), answered, event.version)
+    order.is_calling = True
+    yield CallPlatform(purpose=RecordOrder(event.server), message=message)
+
+
+@ANSWER_HANDLERS.register(RecordOrder)
+def note_recorded(
+    state: DaemonState, event: PlatformAnswered, purpose: RecordOrder
+) -> Iterator[Effect]:
+    """Go on; an answer that was not recorded leaves the intent open."""
+    state.orders[purpose.server].is_calling = False
+    yield from ()
+
+
+def _follow_intent(
+    state: DaemonState,
+    server: str,
+    wish: ServerWish,
+    term: int,
+    intent: OrderIntent,
+    version: int,
+) -> Iterator[Effect]:
+    is_wanted = intent.role is wish.role
+    if is_wanted and intent.status is IntentStatus.DONE:
+        return
+    checks_fencing = state.catalogue.servers[server].checks_fencing
+    if may_replace(intent, checks_fencing):
+        yield from _start_order(state, server, wish, term, intent, version)
+    elif is_wanted:
+        yield from _send(state, server, intent, version)
+    else:
+        fields = (LogField("server", server), LogField("role", wish.role.value))
+        yield WriteLog(level="warning", event="order_blocked", fields=fields)
+
+
+def _start_order(
+    state: DaemonState,
+    server: str,
+    wish: ServerWish,
+    term: int,
+    previous: OrderIntent | None,
+    version: int,
+) -> Iterator[Effect]:
+    intent = OrderIntent(
+        role=wish.role,
+        fencing_token=choose_token(term, previous),
+        host=state.policy.host,
+        incarnation=state.policy.incarnation,
+    )
+    state.orders[server].is_calling = True
+    message = PutObject(_name_intent(server), intent, version)
+    yield CallPlatform(purpose=StartOrder(server, intent), message=message)
+
+
+def _send(
+    state: DaemonState, server: str, intent: OrderIntent, version: int
+) -> Iterator[Effect]:
+    record = state.catalogue.servers.get(server)
+    if record is None:
+        return
+    state.orders[server].is_sending = True
+    yield SendOrder(
+        server=server,
+        address=record.address,
+        intent=intent,
+        version=version,
+        timeout=ORDER_TIMEOUT_SECONDS,
+    )
+
+
+def _find_server_term(state: DaemonState, server: str, now: float) -> int | None:
+    record = state.catalogue.servers.get(server)
+    if record is None:
+        return None
+    return find_term(state, name_order_lease(record.failure_domain), now)
+
+
+def _name_intent(server: str) -> ObjectKey:
+    return ObjectKey("intent", server)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/sealing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/sealing.py
@@ -139,6 +139,8 @@
         done = attrs.evolve(seal, is_reported=True)
         message = PutObject(name_seal(seal.window), done, sealing.seal_version)
         sealing.seal = None
+        fields = (LogField("window", seal.window),)
+        yield WriteLog(level="info", event="usage_reported", fields=fields)
         yield _call(state, FinishSeal(), message)
         return
     line = sealing.pending_reports[0]
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -3,6 +3,7 @@
 import attrs
 
 from geraniumhall_core.leases import Lease
+from geraniumhall_core.orders import OrderIntent
 from geraniumhall_core.platform import DeleteObject, Message, PutObject
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.usage import UsageLine, UsageSeal
@@ -41,6 +42,28 @@
     """Free a lease at a planned stop."""
 
 
+@attrs.frozen
+class TendOrder(Purpose):
+    """Read what order stands for a backend server."""
+
+    server: str
+
+
+@attrs.frozen
+class StartOrder(Purpose):
+    """Record an order before it is sent."""
+
+    server: str
+    intent: OrderIntent
+
+
+@attrs.frozen
+class RecordOrder(Purpose):
+    """Record the answer to an order."""
+
+    server: str
+
+
 @attrs.frozen
 class FlushUsage(Purpose):
     """Write this process's counts of a window, as the part `sequence`."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -9,6 +9,7 @@
 from geraniumhall_core.fleet import ServerLoad
 from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import BorrowRound, LenderLevel, TokenBucket
+from geraniumhall_core.orders import OrderState
 from geraniumhall_core.peering import Member, Membership
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.requests import RequestRecord
@@ -74,6 +75,7 @@
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
     turn: int = 0
     leases: dict[str, LeaseState] = attrs.field(factory=dict)
+    orders: dict[str, OrderState] = attrs.field(factory=dict)
     sealing: SealingState = attrs.field(factory=SealingState)
     drain: DrainState = attrs.field(factory=DrainState)
     counters: Counter[str] = attrs.field(factory=Counter)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -11,7 +11,7 @@
 
 from geraniumhall_core.events import DrainRequested, DumpRequested
 from geraniumhall_core.reducer import Event
-from geraniumhall_daemon import performers, relays
+from geraniumhall_daemon import orders, performers, relays
 from geraniumhall_daemon.admin import serve_operator
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
@@ -29,7 +29,7 @@
     signal.SIGUSR1: DumpRequested,
 }
 
-__all__ = ["main", "performers", "relays", "run_daemon"]
+__all__ = ["main", "orders", "performers", "relays", "run_daemon"]
 
 
 def main() -> None:
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -206,14 +206,18 @@
 
 
 async def request_whole(
-    pool: ClientPool, address: str, request: UpstreamRequest, timeout: float
+    pool: ClientPool,
+    address: str,
+    request: UpstreamRequest,
+    timeout: float,
+    reuse: bool = True,
 ) -> WholeResponse:
     """Make one exchange and return the whole answer.
 
-    Raises `ConnectFailedError` if nothing was sent, else
-    `ExchangeFailedError`.
+    Without `reuse` it goes over a new connection. Raises
+    `ConnectFailedError` if nothing was sent, else `ExchangeFailedError`.
     """
-    connection = await pool.take(address)
+    connection = await pool.take(address, reuse)
     is_whole = False
     try:
         with trio.move_on_after(timeout):
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_json.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_json.py
@@ -55,7 +55,7 @@
 from geraniumhall_wire.platform_json import decode_record, encode_record
 
 ADMIN_PREFIX = "/admin/v1"
-EDITABLE_KINDS = ("entry", "workspace", "server")
+EDITABLE_KINDS = ("entry", "workspace", "server", "wish")
 
 
 @attrs.frozen
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -149,9 +149,24 @@
 
 @attrs.frozen(kw_only=True)
 class UsageSettings:
-    """Usage windows."""
+    """Usage windows.
+
+    Counts are written every `flush_interval`, a window is sealed `seal_grace`
+    after its end, and compared with the seal `settle_grace` after its end.
+    """
 
     window: Seconds = Seconds(60.0)
+    flush_interval: Seconds = Seconds(10.0)
+    seal_grace: Seconds = Seconds(15.0)
+    settle_grace: Seconds = Seconds(30.0)
+
+
+@attrs.frozen(kw_only=True)
+class LeaseSettings:
+    """How long authority lasts, and how much earlier a holder stops."""
+
+    ttl: Seconds = Seconds(9.0)
+    margin: Seconds = Seconds(1.0)
 
 
 @attrs.frozen(kw_only=True)
@@ -188,6 +203,7 @@
     upstream: UpstreamSettings = UpstreamSettings()
     drain: DrainSettings = DrainSettings()
     usage: UsageSettings = UsageSettings()
+    leases: LeaseSettings = LeaseSettings()
     metrics: MetricsSettings = MetricsSettings()
     log: LogSettings = LogSettings()
 
@@ -251,6 +267,11 @@
             retry_ratio=self.routing.retry_ratio,
             drain_grace=self.drain.grace,
             usage_window=self.usage.window,
+            flush_interval=self.usage.flush_interval,
+            seal_grace=self.usage.seal_grace,
+            settle_grace=self.usage.settle_grace,
+            lease_ttl=self.leases.ttl,
+            lease_margin=self.leases.margin,
             metrics_interval=self.metrics.interval,
         )
 
