Check that the promises' tests fail without their mechanisms

Cause: a test that passes proves little unless it was seen to fail. Four showed tests that did not test what they said (a second server hid a missing retry check; counts behind a cut fell into another window; a restart's burst; a doubtful order); the move of a share showed a fault: entries open to all ran on a stale catalogue, so a host cut off kept using a share that had moved. Nothing runs on a stale catalogue now. The loan's empty room needed a test of its own, since its effect is less than a token at these rates.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := core wire net daemon bench cli
 STAMP := $(VENV)/.installed
 
-.PHONY: run test lint format bench capacity clean
+.PHONY: run test lint format proofs bench capacity clean
 
 run: $(STAMP)
 	$(VENV)/bin/geraniumhall scenario run demo
@@ -22,6 +22,9 @@
 	cd $(ROOT) && $(VENV)/bin/ruff check --fix packages tools
 	cd $(ROOT) && $(VENV)/bin/ruff format packages tools
 
+proofs: $(STAMP)
+	$(PYTHON) $(ROOT)/tools/check_proofs.py
+
 bench: $(STAMP)
 	$(VENV)/bin/geraniumhall bench relay
 
--- a/packages/geraniumhall-bench/tests/test_authority.py
+++ b/packages/geraniumhall-bench/tests/test_authority.py
@@ -260,13 +260,15 @@
 class UsageTest(unittest.TestCase):
     """Every count is reported in one window."""
 
-    def serve(self, hosts: VirtualHosts, host: str, number: int) -> None:
-        """Serve some requests at a host."""
+    def serve(
+        self, hosts: VirtualHosts, host: str, number: int, seconds: float = 1.0
+    ) -> None:
+        """Serve some requests at a host and let time pass."""
         for index in range(number):
             name = f"{host}-{hosts.now}-{index}"
             request = CallerRequest(request_id=name, target=ModelTarget("audit"))
             hosts.request(host, request)
-        hosts.run_for(1.0)
+        hosts.run_for(seconds)
 
     def test_counts_of_all_hosts_are_added(self) -> None:
         """The reports hold what three hosts served, and the tokens."""
@@ -278,9 +280,15 @@
         self.assertEqual(sum(r.requests for r in reports), 21)
         self.assertEqual(sum(r.generated_tokens for r in reports), 21 * 5)
 
+    def begin_window(self, hosts: VirtualHosts) -> None:
+        """Let time pass to just after the beginning of a window."""
+        length = POLICY["usage_window"]
+        hosts.run_for(length - hosts.now % length + 0.1)
+
     def test_counts_behind_a_cut_come_late(self) -> None:
         """A host cut off while its window is sealed carries its counts over."""
         hosts = build_hosts()
+        self.begin_window(hosts)
         hosts.cut("h2", PLATFORM_NAME)
         self.serve(hosts, "h2", 4)
         self.serve(hosts, "h1", 3)
@@ -290,16 +298,28 @@
         hosts.run_for(40)
         self.assertEqual(sum(r.requests for r in list_reports(hosts)), 7)
 
+    def test_part_whose_write_failed_is_written_again(self) -> None:
+        """Counts of a window that nobody else has are sealed late."""
+        hosts = build_hosts()
+        hosts.cut("h2", PLATFORM_NAME)
+        self.serve(hosts, "h2", 4)
+        hosts.run_for(20)
+        hosts.heal()
+        hosts.run_for(40)
+        self.assertEqual(sum(r.requests for r in list_reports(hosts)), 4)
+
     def test_part_written_after_the_seal_comes_late(self) -> None:
-        """Counts flushed too late for the seal are not lost."""
+        """Counts made after the last part that the seal took are not lost."""
         hosts = build_hosts()
+        self.begin_window(hosts)
         self.serve(hosts, "h2", 2)
-        hosts.run_for(3)
+        hosts.run_for(0.3)
+        self.serve(hosts, "h2", 1, 0.2)
         hosts.pause("h2")
         self.serve(hosts, "h1", 3)
         hosts.run_for(20)
+        self.assertEqual(sum(r.requests for r in list_reports(hosts)), 5)
         hosts.resume("h2")
-        self.serve(hosts, "h2", 1)
         hosts.run_for(40)
         self.assertEqual(sum(r.requests for r in list_reports(hosts)), 6)
 
--- a/packages/geraniumhall-bench/tests/test_orders.py
+++ b/packages/geraniumhall-bench/tests/test_orders.py
@@ -204,6 +204,23 @@
         expected = [ServerRole.BOTH, ServerRole.PREFILL, ServerRole.DECODE]
         self.assertEqual(roles, expected)
 
+    def test_doubt_outlasts_a_record_that_was_lost(self) -> None:
+        """A repeated order that is accepted does not clear an earlier doubt."""
+        hosts = build_hosts()
+        holder = find_holder(hosts)
+        key = ObjectKey("intent", "unfenced")
+        wish_for(hosts, holder, "unfenced", ServerRole.PREFILL)
+        while hosts.platform.objects[key].record.role is not ServerRole.PREFILL:
+            hosts.run_for(0.005)
+        hosts.lost_order_answers = 1
+        hosts.run_for(0.008)
+        hosts.cut(holder, PLATFORM_NAME)
+        hosts.run_for(0.5)
+        hosts.heal()
+        hosts.run_for(2 * SETTLE_SECONDS)
+        self.assertGreater(len(hosts.servers["unfenced"].taken), 2)
+        self.assertIsNot(find_status(hosts, "unfenced"), IntentStatus.DONE)
+
     def test_lost_answer_blocks_other_orders_of_unfenced(self) -> None:
         """After a lost answer an unfenced server gets the same order only."""
         hosts = build_hosts()
--- a/packages/geraniumhall-bench/tests/test_rates.py
+++ b/packages/geraniumhall-bench/tests/test_rates.py
@@ -216,6 +216,33 @@
         times = [started.at for started in hosts.started]
         self.assertLessEqual(find_excess(times, RATE, BURST), TOLERANCE)
 
+    def test_moved_share_is_not_used_twice(self) -> None:
+        """A share moves only once its old holder has stopped using it."""
+        hosts = build_hosts()
+        hosts.run_for(5.0)
+        for other in PLACES:
+            hosts.cut("h2", other)
+        version = hosts.platform.objects[WORKSPACE].version
+        moved = Workspace(rate=RATE, burst=BURST, hosts=("h0",))
+        hosts.call_admin("h0", WriteRecord(WORKSPACE, moved, version))
+        for _ in range(160):
+            for host in ("h0", "h2"):
+                self.send(hosts, host, 1, 0.0)
+            hosts.run_for(0.05)
+        times = [started.at for started in hosts.started]
+        self.assertLessEqual(find_excess(times, RATE, BURST), TOLERANCE)
+
+    def test_restart_brings_no_second_burst(self) -> None:
+        """Processes that follow each other on a host share one burst."""
+        hosts = build_hosts()
+        for _ in range(6):
+            self.send(hosts, "h1", 6, 0.01)
+            hosts.kill("h1")
+            hosts.start("h1")
+            hosts.run_for(0.3)
+        times = [started.at for started in hosts.started]
+        self.assertLessEqual(find_excess(times, RATE, BURST), TOLERANCE)
+
     def test_loud_tenant_is_held_at_its_rate(self) -> None:
         """Ten times the rate at every host gets no more than the rate."""
         hosts = build_hosts()
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -110,10 +110,12 @@
 def _identify_workspace(
     state: DaemonState, entry: CatalogueEntry, proof: Proof | None, now: float
 ) -> str | Refusal:
-    if proof is None:
-        return entry.owner if entry.open_to_all else KEY_MISSING
+    if proof is None and not entry.open_to_all:
+        return KEY_MISSING
     if not is_catalogue_fresh(state, now):
         return CATALOGUE_STALE.retry_in(state.policy.watch_wait)
+    if proof is None:
+        return entry.owner
     key = state.catalogue.keys.get(proof.key_id)
     if key is None or not key.accepts(proof):
         return KEY_UNKNOWN
--- a/packages/geraniumhall-core/src/geraniumhall_core/refusals.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/refusals.py
@@ -45,7 +45,7 @@
 KEY_UNKNOWN = Refusal("key_unknown", "the key is unknown or withdrawn")
 NOT_PERMITTED = Refusal("not_permitted", "the entry is not open to this workspace")
 CATALOGUE_STALE = Refusal(
-    "catalogue_stale", "the host can't confirm that the key is still valid"
+    "catalogue_stale", "the host can't confirm that its keys and limits are in force"
 )
 RATE_EXCEEDED = Refusal("rate_exceeded", "the workspace is over its rate")
 OVERLOADED = Refusal("overloaded", "the queue for this entry is full")
--- a/packages/geraniumhall-core/tests/builders.py
+++ b/packages/geraniumhall-core/tests/builders.py
@@ -59,6 +59,7 @@
         ObjectKey("server", "e1"): build_server("draft", "open"),
         ObjectKey("server", "e2"): build_server("draft", "open"),
         ObjectKey("server", "s1"): build_server("filing"),
+        ObjectKey("server", "s2"): build_server("filing"),
     }
 
 
--- a/packages/geraniumhall-core/tests/test_admission.py
+++ b/packages/geraniumhall-core/tests/test_admission.py
@@ -74,6 +74,11 @@
         """A host that can't confirm its catalogue trusts no key."""
         self.assertEqual(refuse(build_state(), at=6.1).code, "catalogue_stale")
 
+    def test_stale_catalogue_refuses_open_entries_too(self) -> None:
+        """Limits are as old as keys, so nothing runs on a stale catalogue."""
+        refusal = refuse(build_state(), at=6.1, target="open", proof=None)
+        self.assertEqual(refusal.code, "catalogue_stale")
+
     def test_fresh_catalogue_within_bound(self) -> None:
         """Within the bound of five seconds keys are trusted."""
         effects = reduce(build_state(), build_arrival(at=5.9))
@@ -103,7 +108,7 @@
         """A path below an entry's path belongs to it."""
         target = PathTarget("/filings/2026/7")
         effects = reduce(build_state(), build_arrival(target=target))
-        self.assertEqual(find_effect(effects, RelayRequest).server, "s1")
+        self.assertIn(find_effect(effects, RelayRequest).server, ("s1", "s2"))
 
 
 class RateTest(unittest.TestCase):
--- a/packages/geraniumhall-core/tests/test_catalogue.py
+++ b/packages/geraniumhall-core/tests/test_catalogue.py
@@ -107,4 +107,4 @@
         catalogue = Catalogue()
         listing = build_listing(build_records())
         apply_listing(catalogue, listing.revision, listing.objects)
-        self.assertEqual(catalogue.servers_by_entry["filing"], ("s1",))
+        self.assertEqual(catalogue.servers_by_entry["filing"], ("s1", "s2"))
--- a/packages/geraniumhall-core/tests/test_claims.py
+++ b/packages/geraniumhall-core/tests/test_claims.py
@@ -97,9 +97,11 @@
         self.assertIs(settle.message.record.status, ClaimStatus.DONE)
 
     def test_call_that_did_not_run_is_released(self) -> None:
-        """If the server was never reached, the key may be used again."""
-        relay = find_effect(self.answer(Written(7)), RelayRequest)
-        end = build_end(relay, AttemptOutcome.CONNECT_FAILED, Verdict.NOT_RUN)
+        """If no server was ever reached, the key may be used again."""
+        first = find_effect(self.answer(Written(7)), RelayRequest)
+        end = build_end(first, AttemptOutcome.CONNECT_FAILED, Verdict.NOT_RUN)
+        second = find_effect(reduce(self.state, end), RelayRequest)
+        end = build_end(second, AttemptOutcome.CONNECT_FAILED, Verdict.NOT_RUN)
         settle = find_effect(reduce(self.state, end), CallPlatform)
         self.assertEqual(settle.message, DeleteObject(self.call.message.key, 7))
 
--- a/packages/geraniumhall-core/tests/test_limits.py
+++ b/packages/geraniumhall-core/tests/test_limits.py
@@ -5,7 +5,7 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from geraniumhall_core.limits import Share, TokenBucket
+from geraniumhall_core.limits import LOAN_SECONDS, Share, TokenBucket
 
 
 class TokenBucketTest(unittest.TestCase):
@@ -26,6 +26,20 @@
         """An amount over the burst is never there."""
         self.assertIsNone(TokenBucket(Share(1.0, 5.0), 0.0).seconds_until(6))
 
+    def test_loan_leaves_empty_room(self) -> None:
+        """While a loan may be under way, its room does not fill again."""
+        bucket = TokenBucket(Share(1000.0, 3.0), 0.0, 3.0)
+        bucket.lend(2.0, 10.0)
+        bucket.accrue(10.0 + LOAN_SECONDS * 0.9)
+        self.assertEqual(bucket.tokens, 1.0)
+
+    def test_room_fills_after_the_loan(self) -> None:
+        """Once the loan can't be used any more, its room fills."""
+        bucket = TokenBucket(Share(1000.0, 3.0), 0.0, 3.0)
+        bucket.lend(2.0, 10.0)
+        bucket.accrue(10.0 + LOAN_SECONDS * 2)
+        self.assertEqual(bucket.tokens, 3.0)
+
     def test_smaller_burst_loses_tokens(self) -> None:
         """After a cut no more than the new burst is held."""
         bucket = TokenBucket(Share(1.0, 5.0), 0.0)
