Write the pages, bound what a pull carries, and ask for less of a request

Change: a pull answers with 24 members in turn; one of three pulls goes to the own failure domain; daemons that don't watch wait until four fifths of the freshness bound before they watch themselves. docs/: design, promises, operators, developers, glossary, decisions/sharing, a reference made from the classes, and tests that hold the pages against the code. Whole answers need no event for their start, and prompts are not encoded anew.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/control.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/control.py
@@ -43,6 +43,7 @@
     bytes_a_second: float
     platform_calls_a_second: float
     resident_mib: float
+    worst_heard_age: float
 
 
 @attrs.define(eq=False)
@@ -83,6 +84,15 @@
             raise RuntimeError(response.body.decode())
         return loads(response.body)
 
+    async def find_worst_heard_age(self) -> float:
+        """Return the longest time since the first daemon heard of another."""
+        request = build_json_request("GET", "/admin/v1/members", None)
+        response = await request_whole(
+            self.pool, self.admins[0], request, TIMEOUT_SECONDS
+        )
+        members = loads(response.body)["members"]
+        return max(member["heard_age"] for member in members)
+
     async def count_platform_calls(self) -> int:
         """Return how many calls the platform received so far."""
         request = build_json_request("GET", "/standin/state", None)
@@ -131,6 +141,7 @@
         bytes_a_second=sent / IDLE_SECONDS / len(fleet.daemons),
         platform_calls_a_second=calls / IDLE_SECONDS,
         resident_mib=median(usage.resident_mib for usage in after),
+        worst_heard_age=await fleet.find_worst_heard_age(),
     )
 
 
@@ -154,7 +165,8 @@
         f" (worst {figures.worst_cpu_percent:.2f}%),"
         f" {figures.bytes_a_second:.0f} B/s on loopback a daemon,"
         f" platform {figures.platform_calls_a_second:.1f} calls/s,"
-        f" {figures.resident_mib:.1f} MiB"
+        f" {figures.resident_mib:.1f} MiB,"
+        f" member heard at most {figures.worst_heard_age:.1f} s ago"
     )
 
 
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/limits.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/limits.py
@@ -87,7 +87,7 @@
     outcome = Outcome()
     arrivals: dict[str, float] = {}
     within: set[str] = set()
-    calls_before = hosts.peer_calls
+    calls_before = hosts.borrow_calls
     end = hosts.now + SECONDS
     while hosts.now < end:
         hosts.run_for(random.expovariate(RATE * LOAD))
@@ -101,9 +101,7 @@
     hosts.run_for(1.0)
     outcome.within = len(within)
     outcome.refused = sum(r.request_id in within for r in hosts.refused)
-    pulls = len(hosts.daemons) * min(2, count - 1) * (SECONDS + 1)
-    borrowed = hosts.peer_calls - calls_before - pulls
-    outcome.peer_calls = max(0, round(borrowed))
+    outcome.peer_calls = hosts.borrow_calls - calls_before
     outcome.waits = [s.at - arrivals[s.effect.request_id] for s in hosts.started]
     return outcome
 
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/virtual_hosts.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/virtual_hosts.py
@@ -44,7 +44,7 @@
 )
 from geraniumhall_core.handlers import REDUCER
 from geraniumhall_core.orders import OrderIntent, OrderOutcome
-from geraniumhall_core.peering import PeerAnswer, PeerFailure
+from geraniumhall_core.peering import BorrowRequest, PeerAnswer, PeerFailure
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.platform import Answer, PlatformFailure
 from geraniumhall_core.platform_model import (
@@ -139,7 +139,7 @@
     started: list[Started] = attrs.field(factory=list)
     refused: list[Refused] = attrs.field(factory=list)
     admin_answers: dict[int, AdminAnswer] = attrs.field(factory=dict)
-    peer_calls: int = 0
+    borrow_calls: int = 0
     platform_messages: list[Any] = attrs.field(factory=list)
     _agenda: list[tuple[float, int, Callable[[], None]]] = attrs.field(factory=list)
     _ids: count = attrs.field(factory=lambda: count(1))
@@ -273,7 +273,7 @@
 
     def call_peer(self, host: str, effect: CallPeer, reply: Callable) -> None:
         """Carry a call to another daemon and its answer back."""
-        self.peer_calls += 1
+        self.borrow_calls += isinstance(effect.message, BorrowRequest)
         target = self.daemons.get(effect.address)
         failure = PeerFailure("no answer in time")
         is_done: list[bool] = []
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
@@ -35,7 +35,7 @@
 from geraniumhall_core.retries import compute_backoff
 from geraniumhall_core.state import DaemonState
 
-STALE_FRACTION = 0.5
+STALE_FRACTION = 0.8
 
 
 @ANSWER_HANDLERS.register(SyncCatalogue)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
@@ -112,17 +112,12 @@
 
 
 def pull_from_peers(state: DaemonState, now: float) -> Iterator[Effect]:
-    """Ask a few peers in turn for what they know."""
+    """Ask a few peers in turn for what they know, one of them close by."""
     peering = state.peering
     if not peering.address or now < peering.next_pull_at:
         return
     peering.next_pull_at = now + state.policy.pull_interval
-    addresses = sorted(list_peer_addresses(state).items())
-    if not addresses:
-        addresses = [("", seed) for seed in state.policy.seeds]
-    for _ in range(min(PULL_FAN_OUT, len(addresses))):
-        host, address = addresses[peering.turn % len(addresses)]
-        peering.turn += 1
+    for host, address in _choose_peers(state).items():
         request = PullRequest(state.describe_self(), state.catalogue.revision)
         yield CallPeer(
             host=host, address=address, message=request, timeout=PULL_TIMEOUT_SECONDS
@@ -164,12 +159,13 @@
     age: float | None = event.at - state.catalogue.confirmed_at
     if age == float("inf"):
         age = None
+    reports = state.membership.list_reports(event.at)
     catalogue = state.catalogue
     is_full = message.revision < catalogue.complete_since
     after = message.revision
     changes = catalogue.list_objects() if is_full else catalogue.list_changes(after)
     answer = PullAnswer(
-        reports=(own, *state.membership.list_reports(event.at)),
+        reports=(own, *reports),
         revision=catalogue.revision,
         confirmed_age=age,
         changes=changes,
@@ -199,6 +195,33 @@
     yield from note_joined(state)
 
 
+def _choose_peers(state: DaemonState) -> dict[str, str]:
+    """Return addresses by host: some of all in turn, and one of the domain.
+
+    Daemons of the same failure domain have its watchers among them.
+    """
+    peering = state.peering
+    addresses = sorted(list_peer_addresses(state).items())
+    if not addresses:
+        addresses = [("", seed) for seed in state.policy.seeds]
+    chosen = {}
+    for _ in range(min(PULL_FAN_OUT, len(addresses))):
+        host, address = addresses[peering.turn % len(addresses)]
+        peering.turn += 1
+        chosen[host] = address
+    records = state.catalogue.hosts
+    domain = state.policy.failure_domain
+    near = [
+        (host, address)
+        for host, address in addresses
+        if host in records and records[host].failure_domain == domain
+    ]
+    if near:
+        host, address = near[peering.turn // PULL_FAN_OUT % len(near)]
+        chosen[host] = address
+    return chosen
+
+
 def _merge_report(
     state: DaemonState, report: MemberReport, heard_at: float
 ) -> Iterator[Effect]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/peering.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peering.py
@@ -10,6 +10,8 @@
 
 from geraniumhall_core.records import RECORD_KINDS, VersionedRecord
 
+MAX_REPORTS = 24
+
 
 @RECORD_KINDS.register("host")
 @attrs.frozen(kw_only=True)
@@ -124,6 +126,7 @@
     """The daemons that this host knows, without itself."""
 
     known: dict[str, KnownMember] = attrs.field(factory=dict)
+    turn: int = 0
 
     def merge(self, member: Member, heard_at: float) -> bool:
         """Take in a report; return whether the member's state was news."""
@@ -144,9 +147,12 @@
         if current is not None and current.member.incarnation <= incarnation:
             del self.known[host]
 
-    def list_reports(self, now: float) -> tuple[MemberReport, ...]:
-        """Return all members with their ages at `now`."""
-        return tuple(
-            MemberReport(known.member, max(0.0, now - known.heard_at))
-            for known in self.known.values()
-        )
+    def list_reports(self, now: float) -> list[MemberReport]:
+        """Return members with their ages at `now`, a bounded number in turn."""
+        known = list(self.known.values())
+        first = self.turn % max(1, len(known))
+        self.turn += MAX_REPORTS
+        chosen = [*known[first:], *known[:first]][:MAX_REPORTS]
+        return [
+            MemberReport(item.member, max(0.0, now - item.heard_at)) for item in chosen
+        ]
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -106,13 +106,13 @@
 
     async def _pass_on(self, head: ResponseHead, first: bytes | None) -> None:
         connection = self.exchange.connection
-        self._dispatch_started()
         headers = _select_headers(head)
         if self.is_whole:
             await connection.send_response(
                 head.status, headers, first or b"", self.exchange.must_close
             )
             return
+        self._dispatch_started()
         await connection.start_response(
             head.status, headers, first or b"", self.exchange.must_close
         )
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/caller.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/caller.py
@@ -111,7 +111,7 @@
     fault = _find_fault(data, head.path)
     if fault is not None:
         return MALFORMED.because(fault)
-    prompt = _encode_prompt(data, head.path)
+    prompt = _find_prompt(data, body, head.path)
     request = _build_request(request_id, head, ModelTarget(data["model"]), proof)
     if isinstance(request, Refusal):
         return request
@@ -186,11 +186,17 @@
     return None
 
 
-def _encode_prompt(data: dict[str, Any], path: str) -> bytes:
-    prompt = data["prompt"] if path == "/v1/completions" else data["messages"]
-    if isinstance(prompt, str):
+def _find_prompt(data: dict[str, Any], body: bytes, path: str) -> bytes:
+    """Return the prompt, or the body from its messages on as they were sent.
+
+    That serves for an estimate of its length and for a hash of its beginning,
+    without encoding a list anew.
+    """
+    prompt = data.get("prompt")
+    if path == "/v1/completions" and isinstance(prompt, str):
         return prompt.encode("utf-8", "surrogatepass")
-    return dumps(prompt, separators=(",", ":")).encode()
+    name = b'"prompt"' if path == "/v1/completions" else b'"messages"'
+    return body[max(0, body.find(name)) :]
 
 
 def _ask_for_usage(data: dict[str, Any], body: bytes) -> bytes:
--- /dev/null
+++ b/packages/geraniumhall-wire/tests/test_pages.py
@@ -0,0 +1,76 @@
+"""Tests that the pages say what the code does."""
+
+import ast
+import unittest
+from importlib.util import module_from_spec, spec_from_file_location
+from pathlib import Path
+from types import ModuleType
+
+ROOT = Path(__file__).resolve().parents[3]
+MAY_IMPORT = {
+    "core": set(),
+    "wire": {"core"},
+    "net": {"core", "wire"},
+    "daemon": {"core", "wire", "net"},
+    "bench": {"core", "wire", "net"},
+    "cli": {"core", "wire", "net", "bench"},
+}
+PICTURE = """\
+    core ◀── wire ◀── net ◀── daemon
+                       ▲
+                       ├───── bench ◀── cli
+"""
+
+
+def load_tool(name: str) -> ModuleType:
+    """Import a module of the tools folder."""
+    spec = spec_from_file_location(name, ROOT / "tools" / f"{name}.py")
+    assert spec is not None
+    assert spec.loader is not None
+    module = module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def list_imports(package: str) -> set[str]:
+    """Return the project's packages that a package imports."""
+    found = set()
+    folder = ROOT / "packages" / f"geraniumhall-{package}" / "src"
+    for file in folder.rglob("*.py"):
+        for node in ast.walk(ast.parse(file.read_text())):
+            module = getattr(node, "module", None)
+            if isinstance(node, ast.ImportFrom) and module:
+                found.add(module.split(".")[0])
+    names = {n.removeprefix("geraniumhall_") for n in found if "geraniumhall_" in n}
+    return names - {package}
+
+
+class PagesTest(unittest.TestCase):
+    """Pages are held against the code."""
+
+    def test_reference_is_current(self) -> None:
+        """The reference page is what the classes give."""
+        tool = load_tool("make_reference")
+        self.assertEqual(tool.PAGE.read_text(), tool.build_page())
+
+    def test_packages_import_what_the_picture_shows(self) -> None:
+        """No package imports one that the design does not allow."""
+        for package, allowed in MAY_IMPORT.items():
+            with self.subTest(package=package):
+                self.assertLessEqual(list_imports(package), allowed)
+
+    def test_design_shows_the_picture(self) -> None:
+        """The design page has the picture that is tested."""
+        self.assertIn(PICTURE, (ROOT / "docs" / "design.md").read_text())
+
+    def test_core_does_no_input_or_output(self) -> None:
+        """The decisions import nothing that reads clocks, files or sockets."""
+        banned = {"time", "random", "socket", "trio", "os", "secrets", "datetime"}
+        folder = ROOT / "packages" / "geraniumhall-core" / "src"
+        for file in folder.rglob("*.py"):
+            for node in ast.walk(ast.parse(file.read_text())):
+                if isinstance(node, ast.ImportFrom):
+                    self.assertNotIn((node.module or "").split(".")[0], banned)
+                elif isinstance(node, ast.Import):
+                    names = {alias.name.split(".")[0] for alias in node.names}
+                    self.assertFalse(names & banned, file)
