--- a/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/capacity.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/capacity.py
@@ -254,9 +254,7 @@
 
 def _add_servers(state: DaemonState, count: int) -> None:
     entry = CatalogueEntry(
-        owner="workspace-0",
-        service_class=ServiceClass.MODEL,
-        repeatable=True,
+        owner="workspace-0", service_class=ServiceClass.MODEL, repeatable=True
     )
     changes = [VersionedRecord(ObjectKey("entry", "draft"), 10**6, entry)]
     for number in range(count):
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/limits.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/limits.py
@@ -12,7 +12,7 @@
 import attrs
 
 from geraniumhall_bench.benchmarks.registry import BENCHMARKS
-from geraniumhall_bench.virtual_hosts import VirtualHosts
+from geraniumhall_bench.virtual import VirtualHosts
 from geraniumhall_core.admin import WriteRecord
 from geraniumhall_core.catalogue import (
     BackendServer,
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/load.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/load.py
@@ -66,10 +66,7 @@
         await connection.close()
 
     async def _make_request(
-        self,
-        connection: ClientConnection,
-        request: UpstreamRequest,
-        result: LoadResult,
+        self, connection: ClientConnection, request: UpstreamRequest, result: LoadResult
     ) -> None:
         sent_at = trio.current_time()
         await connection.send_request(request)
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/__init__.py
@@ -0,0 +1,5 @@
+"""The steps of the scenario language; importing this registers them all."""
+
+from geraniumhall_bench.steps import calls, catalogue, processes, stand_ins
+
+__all__ = ["calls", "catalogue", "processes", "stand_ins"]
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/calls.py
@@ -0,0 +1,155 @@
+"""Steps that send callers' requests and check the answers."""
+
+from json import loads
+
+import attrs
+import trio
+
+from geraniumhall_bench.scenario import STEPS, World
+from geraniumhall_bench.steps.common import compare
+from geraniumhall_net.client import (
+    ClientConnection,
+    ExchangeFailedError,
+    build_json_request,
+)
+from geraniumhall_wire.caller import UpstreamRequest
+
+
+@attrs.frozen(kw_only=True)
+class Expectation:
+    """What an answer must be; fields left out are not checked."""
+
+    status: int | None = None
+    code: str | None = None
+    verdict: str | None = None
+    text: str | None = None
+    is_cut: bool = False
+
+
+@STEPS.register("call")
+@attrs.frozen(kw_only=True)
+class Call:
+    """Send a caller's request and check the answer.
+
+    With `label` the step does not wait; `finish` checks it later.
+    """
+
+    via: str
+    path: str = "/v1/chat/completions"
+    model: str = ""
+    key: str = ""
+    prompt: str = "hello"
+    stream: bool = False
+    max_tokens: int = 4
+    body: str = ""
+    headers: dict[str, str] = attrs.field(factory=dict)
+    expect: Expectation = Expectation()
+    label: str = ""
+    show: bool = False
+
+    async def run(self, world: World) -> None:
+        """Send the request, or start to."""
+        answer = PendingAnswer(self)
+        if self.label:
+            world.pending[self.label] = answer
+            world.nursery.start_soon(answer.fetch, world)
+            await answer.started.wait()
+            return
+        await answer.fetch(world)
+        answer.check(world)
+
+    def build_request(self, world: World) -> UpstreamRequest:
+        """Return the HTTP request."""
+        headers = [
+            (k.lower().encode(), world.expand(v).encode())
+            for k, v in self.headers.items()
+        ]
+        if self.key:
+            bearer = f"Bearer {world.find(self.key)}".encode()
+            headers.append((b"authorization", bearer))
+        if not self.model:
+            body = world.expand(self.body).encode()
+            return UpstreamRequest(b"POST", self.path.encode(), tuple(headers), body)
+        data = {
+            "model": self.model,
+            "stream": self.stream,
+            "max_tokens": self.max_tokens,
+            "messages": [{"role": "user", "content": self.prompt}],
+        }
+        request = build_json_request("POST", self.path, data)
+        return attrs.evolve(request, headers=(*request.headers, *headers))
+
+
+@attrs.define(eq=False)
+class PendingAnswer:
+    """An answer that is on its way."""
+
+    call: Call
+    started: trio.Event = attrs.field(factory=trio.Event)
+    ended: trio.Event = attrs.field(factory=trio.Event)
+    status: int = 0
+    body: bytes = b""
+    is_cut: bool = False
+
+    async def fetch(self, world: World) -> None:
+        """Send the request and collect the answer as it comes."""
+        address = world.find(self.call.via)
+        connection = await world.pool.take(address, reuse=False)
+        try:
+            await connection.send_request(self.call.build_request(world))
+            await self._collect(connection)
+        except ExchangeFailedError:
+            self.is_cut = True
+        finally:
+            self.started.set()
+            self.ended.set()
+            await connection.close()
+
+    async def _collect(self, connection: ClientConnection) -> None:
+        head = await connection.read_head()
+        self.status = head.status
+        while (chunk := await connection.read_chunk()) is not None:
+            self.body += chunk
+            self.started.set()
+
+    def check(self, world: World) -> None:
+        """Compare the answer with what was expected."""
+        expect = self.call.expect
+        if self.call.show:
+            world.report(self.body.decode("utf-8", "replace"))
+        compare("cut", self.is_cut, expect.is_cut, self.body)
+        if expect.status is not None:
+            compare("status", self.status, expect.status, self.body)
+        if expect.text is not None:
+            compare("text", _read_text(self.body), expect.text, self.body)
+        if expect.code is not None or expect.verdict is not None:
+            error = loads(self.body)["error"]
+            if expect.code is not None:
+                compare("code", error["code"], expect.code, self.body)
+            if expect.verdict is not None:
+                compare("verdict", error["verdict"], expect.verdict, self.body)
+
+
+@STEPS.register("finish")
+@attrs.frozen(kw_only=True)
+class FinishCall:
+    """Wait for the answer to a call that was started, and check it."""
+
+    label: str
+
+    async def run(self, world: World) -> None:
+        """Wait and check."""
+        answer = world.pending.pop(self.label)
+        await answer.ended.wait()
+        answer.check(world)
+
+
+def _read_text(body: bytes) -> str:
+    if not body.startswith(b"data:"):
+        return loads(body)["choices"][0]["message"]["content"]
+    texts = []
+    for line in body.split(b"\n"):
+        if line.startswith(b"data: {"):
+            for choice in loads(line[len(b"data: ") :]).get("choices", ()):
+                texts.append(choice["delta"]["content"])
+    return "".join(texts)
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/catalogue.py
@@ -0,0 +1,80 @@
+"""Steps that edit the catalogue through a daemon."""
+
+from json import loads
+from typing import Any
+
+import attrs
+
+from geraniumhall_bench.scenario import STEPS, World
+from geraniumhall_bench.steps.common import build_condition, call_admin, check_status
+
+
+@STEPS.register("put")
+@attrs.frozen(kw_only=True)
+class PutRecord:
+    """Write a catalogue record through a daemon's admin API.
+
+    `version` is the version it must have now, zero for a new record; it may
+    name what an earlier step left, as in ``${server/engine-1}``.
+    """
+
+    via: str
+    kind: str
+    name: str
+    record: dict[str, Any]
+    version: str = "0"
+    status: int = 200
+
+    async def run(self, world: World) -> None:
+        """Write the record and keep its version under ``KIND/NAME``."""
+        target = f"/admin/v1/catalogue/{self.kind}/{self.name}"
+        record = world.expand(self.record)
+        condition = build_condition(int(world.expand(self.version)))
+        response = await call_admin(
+            world, self.via, "PUT", target, record, (condition,)
+        )
+        check_status(response, self.status, f"put {self.kind}/{self.name}")
+        if response.head.status == 200:
+            world.names[f"{self.kind}/{self.name}"] = str(
+                loads(response.body)["version"]
+            )
+
+
+@STEPS.register("issue_key")
+@attrs.frozen(kw_only=True)
+class IssueKey:
+    """Issue a key for a workspace; it goes under `name`, its id under NAME.id."""
+
+    via: str
+    workspace: str
+    name: str
+
+    async def run(self, world: World) -> None:
+        """Issue the key."""
+        data = {"workspace": self.workspace}
+        response = await call_admin(world, self.via, "POST", "/admin/v1/keys", data)
+        check_status(response, 201, f"issue key for {self.workspace}")
+        issued = loads(response.body)
+        world.names[self.name] = issued["key"]
+        world.names[f"{self.name}.id"] = issued["id"]
+        world.names[f"{self.name}.version"] = str(issued["version"])
+
+
+@STEPS.register("withdraw_key")
+@attrs.frozen(kw_only=True)
+class WithdrawKey:
+    """Withdraw a key that an earlier step issued."""
+
+    via: str
+    name: str
+
+    async def run(self, world: World) -> None:
+        """Delete the key's record."""
+        key_id = world.find(f"{self.name}.id")
+        condition = build_condition(int(world.find(f"{self.name}.version")))
+        target = f"/admin/v1/catalogue/key/{key_id}"
+        response = await call_admin(
+            world, self.via, "DELETE", target, None, (condition,)
+        )
+        check_status(response, 200, f"withdraw key {self.name}")
+        world.names[f"key/{self.name}"] = str(loads(response.body)["version"])
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/processes.py
@@ -0,0 +1,131 @@
+"""Steps that start, stop and watch processes."""
+
+import signal
+from typing import Any
+
+import attrs
+
+from geraniumhall_bench.scenario import STEPS, World
+from geraniumhall_bench.steps.common import call_admin, check_status, compare
+
+
+@STEPS.register("start")
+@attrs.frozen(kw_only=True)
+class StartStandIn:
+    """Start a stand-in; its address goes under its name."""
+
+    kind: str
+    name: str
+    options: dict[str, Any] = attrs.field(factory=dict)
+
+    async def run(self, world: World) -> None:
+        """Start the process and wait until it listens."""
+        address = await world.group.start_stand_in(self.kind, self.name, self.options)
+        world.names[self.name] = address
+
+
+@STEPS.register("daemon")
+@attrs.frozen(kw_only=True)
+class StartDaemon:
+    """Start a daemon; its addresses go under its name and ``NAME.admin``.
+
+    The step waits until the daemon takes edits, unless told otherwise.
+    """
+
+    name: str
+    failure_domain: str
+    settings: dict[str, Any] = attrs.field(factory=dict)
+    await_join: bool = True
+
+    async def run(self, world: World) -> None:
+        """Start the process and wait until it is at work."""
+        settings = world.expand(self.settings)
+        settings.setdefault("host", {})
+        settings["host"] = {"name": self.name, "failure_domain": self.failure_domain}
+        for listener in ("callers", "admin", "peers"):
+            settings.setdefault(listener, {}).setdefault("listen", "127.0.0.1:0")
+        line = await world.group.start_daemon(self.name, settings)
+        world.names[self.name] = line["callers"]
+        world.names[f"{self.name}.admin"] = line["admin"]
+        world.names[f"{self.name}.peers"] = line["peers"]
+        process = world.group.processes[self.name]
+        if self.await_join:
+            await process.wait_for_event("joined")
+
+
+@STEPS.register("signal")
+@attrs.frozen(kw_only=True)
+class SendSignal:
+    """Send a signal such as SIGSTOP to a process."""
+
+    to: str
+    name: str
+
+    async def run(self, world: World) -> None:
+        """Send it."""
+        world.group.processes[self.to].send_signal(signal.Signals[self.name])
+
+
+@STEPS.register("await_log")
+@attrs.frozen(kw_only=True)
+class AwaitLog:
+    """Wait until a process has logged an event."""
+
+    of: str
+    event: str
+
+    async def run(self, world: World) -> None:
+        """Wait."""
+        await world.group.processes[self.of].wait_for_event(self.event)
+
+
+@STEPS.register("await_revision")
+@attrs.frozen(kw_only=True)
+class AwaitRevision:
+    """Wait until daemons have applied the version kept under `of`."""
+
+    daemons: tuple[str, ...]
+    of: str
+
+    async def run(self, world: World) -> None:
+        """Wait for the log line of each daemon."""
+        revision = int(world.find(self.of))
+        for name in self.daemons:
+            await world.group.processes[name].wait_for(
+                lambda line: (
+                    line.get("event") == "catalogue_applied"
+                    and line["revision"] >= revision
+                )
+            )
+
+
+@STEPS.register("status")
+@attrs.frozen(kw_only=True)
+class ShowStatus:
+    """Print the status of daemons."""
+
+    daemons: tuple[str, ...]
+
+    async def run(self, world: World) -> None:
+        """Ask each daemon."""
+        for name in self.daemons:
+            response = await call_admin(world, name, "GET", "/admin/v1/status", None)
+            check_status(response, 200, f"status of {name}")
+            world.report(response.body.decode().strip())
+
+
+@STEPS.register("stop")
+@attrs.frozen(kw_only=True)
+class StopProcesses:
+    """Ask processes to stop and check their exit codes."""
+
+    names: tuple[str, ...]
+    code: int = 0
+
+    async def run(self, world: World) -> None:
+        """Stop all at once, then wait for each."""
+        processes = [world.group.processes[name] for name in self.names]
+        for process in processes:
+            process.send_signal(signal.SIGTERM)
+        for process in processes:
+            compare(f"exit code of {process.name}", await process.wait(), self.code)
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/stand_ins.py
@@ -0,0 +1,60 @@
+"""Steps that plan faults at stand-ins and read what they received."""
+
+from json import loads
+from typing import Any
+
+import attrs
+
+from geraniumhall_bench.scenario import STEPS, ExpectationError, World
+from geraniumhall_bench.steps.common import ADMIN_TIMEOUT_SECONDS, check_status, compare
+from geraniumhall_net.client import build_json_request, request_whole
+
+
+@STEPS.register("fault")
+@attrs.frozen(kw_only=True)
+class PlanFaults:
+    """Tell a stand-in which faults to show from now on; none clears them."""
+
+    at: str
+    faults: tuple[dict[str, Any], ...] = ()
+
+    async def run(self, world: World) -> None:
+        """Replace the stand-in's faults."""
+        request = build_json_request("POST", "/standin/faults", list(self.faults))
+        address = world.find(self.at)
+        response = await request_whole(
+            world.pool, address, request, ADMIN_TIMEOUT_SECONDS
+        )
+        check_status(response, 200, f"faults at {self.at}")
+
+
+@STEPS.register("expect_calls")
+@attrs.frozen(kw_only=True)
+class ExpectCalls:
+    """Check what a stand-in received: how many calls, and no text in them.
+
+    Only calls whose path begins with `path` and whose body holds `body` count.
+    """
+
+    at: str
+    path: str = ""
+    body: str = ""
+    count: int | None = None
+    without: tuple[str, ...] = ()
+
+    async def run(self, world: World) -> None:
+        """Read the stand-in's log and check it."""
+        request = build_json_request("GET", "/standin/log", None)
+        address = world.find(self.at)
+        response = await request_whole(
+            world.pool, address, request, ADMIN_TIMEOUT_SECONDS
+        )
+        calls = [c for c in loads(response.body) if self._is_meant(c)]
+        if self.count is not None:
+            compare("calls", len(calls), self.count, response.body)
+        for name in self.without:
+            if world.find(name) in response.body.decode():
+                raise ExpectationError(f"{self.at} received {name}")
+
+    def _is_meant(self, call: dict[str, Any]) -> bool:
+        return call["target"].startswith(self.path) and self.body in call["body"]
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/virtual_hosts.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/virtual/hosts.py
@@ -14,36 +14,19 @@
 
 import attrs
 
+from geraniumhall_bench.virtual.servers import VirtualServer
 from geraniumhall_core.admin import AdminAnswer, AdminCommand
-from geraniumhall_core.effects import (
-    AbortResponse,
-    AnswerAdmin,
-    AnswerPeer,
-    CallPeer,
-    CallPlatform,
-    CloseExchange,
-    EmitMetrics,
-    EndProcess,
-    RefuseRequest,
-    RelayRequest,
-    SendOrder,
-    StopListening,
-    WriteDump,
-    WriteLog,
-)
+from geraniumhall_core.effects import CallPeer, RelayRequest, SendOrder, WriteLog
 from geraniumhall_core.events import (
     AdminCalled,
-    AttemptEnded,
     DaemonStarted,
     OrderAnswered,
-    PeerAnswered,
     PeerCalled,
-    PlatformAnswered,
     RequestArrived,
     Ticked,
 )
 from geraniumhall_core.handlers import REDUCER
-from geraniumhall_core.orders import OrderIntent, OrderOutcome
+from geraniumhall_core.orders import OrderOutcome
 from geraniumhall_core.peering import BorrowRequest, PeerAnswer, PeerFailure
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.platform import Answer, PlatformFailure
@@ -57,7 +40,7 @@
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.reducer import Event
 from geraniumhall_core.refusals import Refusal
-from geraniumhall_core.requests import AttemptOutcome, CallerRequest
+from geraniumhall_core.requests import CallerRequest
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -65,6 +48,7 @@
 TICK_SECONDS = 0.25
 PLATFORM_TICK_SECONDS = 0.25
 PLATFORM_TIMEOUT_SECONDS = 2.0
+PLATFORM_DELAY_SECONDS = 7.0
 PROMPT_TOKENS = 3
 GENERATED_TOKENS = 5
 
@@ -84,22 +68,6 @@
     log: list[WriteLog] = attrs.field(factory=list)
 
 
-@attrs.define
-class VirtualServer:
-    """A backend server and the orders that it took, in order."""
-
-    taken: list[tuple[float, OrderIntent]] = attrs.field(factory=list)
-    highest_token: int = 0
-
-    def take(self, at: float, intent: OrderIntent, checks_fencing: bool) -> bool:
-        """Take an order, or reject it for its token."""
-        if checks_fencing and intent.fencing_token < self.highest_token:
-            return False
-        self.highest_token = max(self.highest_token, intent.fencing_token)
-        self.taken.append((at, intent))
-        return True
-
-
 @attrs.frozen
 class Started:
     """A request that was sent to a backend server."""
@@ -133,6 +101,7 @@
     daemons: dict[str, VirtualDaemon] = attrs.field(factory=dict)
     cuts: set[tuple[str, str]] = attrs.field(factory=set)
     lost_replies: int = 0
+    delays: list[Callable[[Any], bool]] = attrs.field(factory=list)
     lost_order_answers: int = 0
     order_latency: float = 0.01
     servers: dict[str, VirtualServer] = attrs.field(factory=dict)
@@ -266,10 +235,22 @@
             self._schedule(PLATFORM_TIMEOUT_SECONDS, lambda: reply(lost))
             return
         call_id = next(self._ids)
+        latency = self.platform_latency
         self._platform_calls[call_id] = lambda answer: self._return(host, reply, answer)
-        self._schedule(
-            self.platform_latency, lambda: self._reach_platform(call_id, message)
-        )
+        if self._take_delay(message):
+            latency = PLATFORM_DELAY_SECONDS
+            self._platform_calls[call_id] = _ignore
+            lost = PlatformFailure("no reply in time", Verdict.MAY_HAVE_RUN)
+            self._schedule(PLATFORM_TIMEOUT_SECONDS, lambda: reply(lost))
+        self._schedule(latency, lambda: self._reach_platform(call_id, message))
+
+    def _take_delay(self, message: Any) -> bool:
+        """Tell whether a message is one whose delay was asked for."""
+        for index, is_meant in enumerate(self.delays):
+            if is_meant(message):
+                del self.delays[index]
+                return True
+        return False
 
     def call_peer(self, host: str, effect: CallPeer, reply: Callable) -> None:
         """Carry a call to another daemon and its answer back."""
@@ -312,8 +293,7 @@
         if daemon.is_alive:
             if not daemon.is_paused:
                 self.send(
-                    daemon,
-                    lambda at: Ticked(at=at, wall_time=at, draws=self.draw()),
+                    daemon, lambda at: Ticked(at=at, wall_time=at, draws=self.draw())
                 )
             self._schedule(TICK_SECONDS, lambda: self._tick(daemon))
 
@@ -345,133 +325,9 @@
         reply(answer)
 
 
-def _bind(function: Callable[[Any], None], value: Any) -> Callable[[], None]:
-    return lambda: function(value)
-
-
-Place = tuple[VirtualHosts, VirtualDaemon]
-
-
-@VIRTUAL_PERFORMERS.performs(CallPlatform)
-def call_platform(place: Place, effect: CallPlatform) -> None:
-    """Call the platform after the effect's delay."""
-    hosts, daemon = place
-
-    def begin() -> None:
-        asked_at = hosts.now
-
-        def reply(answer: Answer) -> None:
-            hosts.send(
-                daemon,
-                lambda at: PlatformAnswered(
-                    at=at,
-                    asked_at=asked_at,
-                    wall_time=at,
-                    purpose=effect.purpose,
-                    answer=answer,
-                    draws=hosts.draw(),
-                ),
-            )
-
-        hosts.call_platform(daemon.state.policy.host, effect.message, reply)
-
-    hosts.after(effect.delay, begin)
-
-
-@VIRTUAL_PERFORMERS.performs(CallPeer)
-def call_peer(place: Place, effect: CallPeer) -> None:
-    """Call another daemon."""
-    hosts, daemon = place
-    asked_at = hosts.now
-
-    def reply(answer: PeerAnswer) -> None:
-        hosts.send(
-            daemon,
-            lambda at: PeerAnswered(
-                at=at,
-                asked_at=asked_at,
-                host=effect.host,
-                message=effect.message,
-                answer=answer,
-                draws=hosts.draw(),
-            ),
-        )
-
-    hosts.call_peer(daemon.state.policy.host, effect, reply)
-
-
-@VIRTUAL_PERFORMERS.performs(AnswerPeer)
-def answer_peer(place: Place, effect: AnswerPeer) -> None:
-    """Answer another daemon."""
-    place[0].answer_peer(effect.call_id, effect.answer)
-
-
-@VIRTUAL_PERFORMERS.performs(RelayRequest)
-def relay_request(place: Place, effect: RelayRequest) -> None:
-    """Let a backend server answer after the fixed time."""
-    hosts, daemon = place
-    record = daemon.state.requests[effect.request_id]
-    host = daemon.state.policy.host
-    hosts.started.append(Started(hosts.now, host, record.workspace, effect))
-
-    def end() -> None:
-        hosts.send(
-            daemon,
-            lambda at: AttemptEnded(
-                at=at,
-                request_id=effect.request_id,
-                attempt_id=effect.attempt_id,
-                outcome=AttemptOutcome.COMPLETED,
-                verdict=Verdict.RAN,
-                wall_time=at,
-                draws=hosts.draw(),
-                prompt_tokens=PROMPT_TOKENS,
-                generated_tokens=GENERATED_TOKENS,
-            ),
-        )
-
-    hosts.after(hosts.service_seconds, end)
-
+def _ignore(answer: Answer) -> None:
+    """Take an answer that nobody waits for any more."""
 
-@VIRTUAL_PERFORMERS.performs(SendOrder)
-def send_order(place: Place, effect: SendOrder) -> None:
-    """Carry an order to a backend server and its answer back.
 
-    A daemon paused now sends the order when it goes on.
-    """
-    hosts, daemon = place
-    hosts.after(hosts.order_latency, lambda: hosts.reach_server(daemon, effect))
-
-
-@VIRTUAL_PERFORMERS.performs(RefuseRequest)
-def refuse_request(place: Place, effect: RefuseRequest) -> None:
-    """Note a refusal."""
-    hosts, daemon = place
-    host = daemon.state.policy.host
-    refused = Refused(hosts.now, host, effect.request_id, effect.refusal)
-    hosts.refused.append(refused)
-
-
-@VIRTUAL_PERFORMERS.performs(AnswerAdmin)
-def answer_admin(place: Place, effect: AnswerAdmin) -> None:
-    """Keep an answer to an operator."""
-    place[0].admin_answers[effect.call_id] = effect.answer
-
-
-@VIRTUAL_PERFORMERS.performs(WriteLog)
-def keep_log(place: Place, effect: WriteLog) -> None:
-    """Keep a log line."""
-    place[1].log.append(effect)
-
-
-@VIRTUAL_PERFORMERS.performs(EndProcess)
-def end_process(place: Place, effect: EndProcess) -> None:
-    """End the daemon."""
-    place[1].is_alive = False
-
-
-@VIRTUAL_PERFORMERS.performs(
-    AbortResponse, CloseExchange, EmitMetrics, StopListening, WriteDump
-)
-def ignore_effect(place: Place, effect: Any) -> None:
-    """Do nothing; no caller or operator is there to see it."""
+def _bind(function: Callable[[Any], None], value: Any) -> Callable[[], None]:
+    return lambda: function(value)
--- a/packages/geraniumhall-bench/tests/test_authority.py
+++ b/packages/geraniumhall-bench/tests/test_authority.py
@@ -1,16 +1,16 @@
 """One holder of a lease at a time, and usage that is sealed and reported once."""
 
-import os
 import unittest
 from collections import Counter
 from itertools import count
 from random import Random
 
-from hypothesis import HealthCheck, Phase, seed, settings
+from histories import HISTORY_SETTINGS, NAMES, SEED, FaultRules
+from hypothesis import seed
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import initialize, invariant, rule
 
-from geraniumhall_bench.virtual_hosts import PLATFORM_NAME, VirtualHosts
+from geraniumhall_bench.virtual import PLATFORM_NAME, VirtualHosts
 from geraniumhall_core.admin import WriteRecord
 from geraniumhall_core.catalogue import (
     BackendServer,
@@ -24,8 +24,6 @@
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.requests import CallerRequest, ModelTarget
 
-NAMES = ("h0", "h1", "h2")
-PLACES = (*NAMES, PLATFORM_NAME)
 JOIN_SECONDS = 6.0
 TTL_SECONDS = 3.0
 POLICY = {
@@ -36,8 +34,6 @@
     "seal_grace": 3.0,
     "settle_grace": 6.0,
 }
-EXAMPLES = int(os.environ.get("GERANIUMHALL_EXAMPLES", "20"))
-STEPS = int(os.environ.get("GERANIUMHALL_STEPS", "20"))
 WORKSPACES = ("audit", "other")
 
 
@@ -87,8 +83,15 @@
     return sum(f.requests for w in windows for f in w.table.values())
 
 
-class FaultMachine(RuleBasedStateMachine):
-    """Cuts, pauses, kills and lost replies over three daemons."""
+class FaultMachine(FaultRules):
+    """Requests among the faults."""
+
+    policy = POLICY
+
+    def note_kill(self, host: str) -> None:
+        """Count what a killed daemon had not settled."""
+        self.lost_at_kills += count_held(self.hosts, host)
+        self.lost_at_kills += len(self.hosts.daemons[host].state.requests)
 
     @initialize()
     def start(self) -> None:
@@ -97,49 +100,6 @@
         self.ids = count(1)
         self.lost_at_kills = 0
 
-    @rule(seconds=st.sampled_from([0.01, 0.4, 1.5, 4.0, 12.0]))
-    def wait(self, seconds: float) -> None:
-        """Let time pass."""
-        self.hosts.run_for(seconds)
-
-    @rule(one=st.sampled_from(NAMES), other=st.sampled_from(PLACES), both=st.booleans())
-    def cut(self, one: str, other: str, both: bool) -> None:
-        """Cut one direction or both."""
-        self.hosts.cut(one, other, both)
-
-    @rule(host=st.sampled_from(NAMES))
-    def cut_replies(self, host: str) -> None:
-        """Let a daemon's writes through and lose the replies."""
-        self.hosts.cut(PLATFORM_NAME, host, both_ways=False)
-
-    @rule()
-    def heal(self) -> None:
-        """Undo the cuts."""
-        self.hosts.heal()
-
-    @rule(number=st.integers(1, 3))
-    def lose_replies(self, number: int) -> None:
-        """Lose the next replies of the platform."""
-        self.hosts.lost_replies = number
-
-    @rule(host=st.sampled_from(NAMES))
-    def pause(self, host: str) -> None:
-        """Pause a daemon."""
-        self.hosts.pause(host)
-
-    @rule(host=st.sampled_from(NAMES))
-    def resume(self, host: str) -> None:
-        """Let a paused daemon go on."""
-        self.hosts.resume(host)
-
-    @rule(host=st.sampled_from(NAMES))
-    def restart(self, host: str) -> None:
-        """Kill a daemon and start another on its host."""
-        self.lost_at_kills += count_held(self.hosts, host)
-        self.lost_at_kills += len(self.hosts.daemons[host].state.requests)
-        self.hosts.kill(host)
-        self.hosts.start(host, **POLICY)
-
     @rule(
         host=st.sampled_from(NAMES),
         workspace=st.sampled_from(WORKSPACES),
@@ -155,13 +115,13 @@
     @invariant()
     def has_one_holder(self) -> None:
         """At no time do two daemons hold the lease."""
-        if hasattr(self, "hosts"):
+        if self.hosts is not None:
             assert len(list_holders(self.hosts)) <= 1
 
     @invariant()
     def reports_one_figure_for_a_window(self) -> None:
         """No window of a workspace is reported with different figures."""
-        if not hasattr(self, "hosts"):
+        if self.hosts is None:
             return
         reports = set(list_reports(self.hosts))
         windows = Counter((r.workspace, r.window) for r in reports)
@@ -169,27 +129,17 @@
 
     def teardown(self) -> None:
         """In the end all that was counted is reported once."""
-        if not hasattr(self, "hosts"):
+        if self.hosts is None:
             return
-        self.hosts.heal()
-        self.hosts.lost_replies = 0
-        for host in NAMES:
-            self.hosts.resume(host)
-        self.hosts.run_for(60.0)
+        self.end_faults(60.0)
         reported = sum(r.requests for r in set(list_reports(self.hosts)))
         served = len(self.hosts.started)
         assert reported <= served
         assert reported >= served - self.lost_at_kills
 
 
-@seed(20261204)
-@settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
-    deadline=None,
-    phases=(Phase.explicit, Phase.generate),
-    suppress_health_check=list(HealthCheck),
-)
+@seed(SEED)
+@HISTORY_SETTINGS
 class SeededFaultMachine(FaultMachine):
     """The machine with its fixed seed."""
 
--- a/packages/geraniumhall-bench/tests/test_hosts.py
+++ b/packages/geraniumhall-bench/tests/test_hosts.py
@@ -3,7 +3,7 @@
 import unittest
 from random import Random
 
-from geraniumhall_bench.virtual_hosts import PLATFORM_NAME, VirtualHosts
+from geraniumhall_bench.virtual import PLATFORM_NAME, VirtualHosts
 from geraniumhall_core.admin import DeleteRecord, NotJoined, PlatformResult, WriteRecord
 from geraniumhall_core.catalogue import (
     BackendServer,
--- a/packages/geraniumhall-bench/tests/test_orders.py
+++ b/packages/geraniumhall-bench/tests/test_orders.py
@@ -1,28 +1,34 @@
 """An engine never receives conflicting orders, whoever believes to be in charge."""
 
-import os
 import unittest
 from random import Random
 
-from hypothesis import HealthCheck, Phase, seed, settings
+from histories import HISTORY_SETTINGS, NAMES, SEED, FaultRules
+from hypothesis import seed
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import initialize, invariant, rule
 
-from geraniumhall_bench.virtual_hosts import PLATFORM_NAME, VirtualHosts
+from geraniumhall_bench.virtual import PLATFORM_NAME, VirtualHosts
 from geraniumhall_core.admin import WriteRecord
-from geraniumhall_core.catalogue import BackendServer
+from geraniumhall_core.catalogue import (
+    BackendServer,
+    CatalogueEntry,
+    ServiceClass,
+    Workspace,
+)
 from geraniumhall_core.handlers.leases import find_term
 from geraniumhall_core.orders import IntentStatus, ServerRole, ServerWish
+from geraniumhall_core.platform import OrderServers, PutObject
+from geraniumhall_core.purchases import CapacityWish
 from geraniumhall_core.records import ObjectKey
 
-NAMES = ("h0", "h1", "h2")
-PLACES = (*NAMES, PLATFORM_NAME)
 SERVERS = {"fenced": True, "unfenced": False}
 LEASE = "orders.a"
+CAPACITY = ObjectKey("capacity", "drafts")
 SETTLE_SECONDS = 8.0
+OWNER = Workspace(rate=1.0, burst=1.0, hosts=())
+ENTRY = CatalogueEntry(owner="audit", service_class=ServiceClass.MODEL)
 POLICY = {"lease_ttl": 3.0, "lease_margin": 0.5}
-EXAMPLES = int(os.environ.get("GERANIUMHALL_EXAMPLES", "20"))
-STEPS = int(os.environ.get("GERANIUMHALL_STEPS", "25"))
 
 
 def build_hosts() -> VirtualHosts:
@@ -31,6 +37,9 @@
     for name in NAMES:
         hosts.start(name, **POLICY)
     hosts.run_for(SETTLE_SECONDS)
+    hosts.call_admin("h0", WriteRecord(ObjectKey("workspace", "audit"), OWNER, 0))
+    hosts.run_for(0.1)
+    hosts.call_admin("h0", WriteRecord(ObjectKey("entry", "draft"), ENTRY, 0))
     for name, checks_fencing in SERVERS.items():
         server = BackendServer(
             address="10.0.0.1:80",
@@ -39,6 +48,7 @@
             checks_fencing=checks_fencing,
         )
         hosts.call_admin("h0", WriteRecord(ObjectKey("server", name), server, 0))
+        hosts.run_for(0.1)
         wish_for(hosts, "h0", name, ServerRole.BOTH)
     hosts.run_for(SETTLE_SECONDS)
     return hosts
@@ -52,6 +62,14 @@
     hosts.call_admin(via, WriteRecord(key, ServerWish(role=role), version))
 
 
+def write_capacity(hosts: VirtualHosts, via: str, count: int) -> None:
+    """Ask for a number of servers through a daemon."""
+    found = hosts.platform.objects.get(CAPACITY)
+    version = found.version if found else 0
+    wish = CapacityWish(failure_domain="a", model="draft", count=count)
+    hosts.call_admin(via, WriteRecord(CAPACITY, wish, version))
+
+
 def find_holder(hosts: VirtualHosts) -> str:
     """Return the daemon in charge of the servers."""
     return next(
@@ -71,8 +89,10 @@
     return hosts.platform.objects[ObjectKey("intent", server)].record.status
 
 
-class OrderMachine(RuleBasedStateMachine):
-    """Wishes, pauses, kills, cuts and lost answers over three daemons."""
+class OrderMachine(FaultRules):
+    """Wishes and lost answers among the faults."""
+
+    policy = POLICY
 
     @initialize()
     def start(self) -> None:
@@ -88,61 +108,23 @@
         """Ask for another role."""
         wish_for(self.hosts, via, server, role)
 
-    @rule(seconds=st.sampled_from([0.005, 0.02, 0.3, 2.0, 6.0]))
-    def wait(self, seconds: float) -> None:
-        """Let time pass."""
-        self.hosts.run_for(seconds)
-
-    @rule(host=st.sampled_from(NAMES))
-    def pause(self, host: str) -> None:
-        """Pause a daemon, perhaps between its check and its sending."""
-        self.hosts.pause(host)
-
-    @rule(host=st.sampled_from(NAMES))
-    def resume(self, host: str) -> None:
-        """Let a paused daemon go on."""
-        self.hosts.resume(host)
-
-    @rule(host=st.sampled_from(NAMES))
-    def restart(self, host: str) -> None:
-        """Kill a daemon and start another on its host."""
-        self.hosts.kill(host)
-        self.hosts.start(host, **POLICY)
-
-    @rule(one=st.sampled_from(NAMES), other=st.sampled_from(PLACES), both=st.booleans())
-    def cut(self, one: str, other: str, both: bool) -> None:
-        """Cut one direction or both."""
-        self.hosts.cut(one, other, both)
-
-    @rule()
-    def heal(self) -> None:
-        """Undo the cuts."""
-        self.hosts.heal()
-
-    @rule(replies=st.integers(0, 2), answers=st.integers(0, 2))
-    def lose(self, replies: int, answers: int) -> None:
-        """Lose replies of the platform and answers of servers."""
-        self.hosts.lost_replies = replies
+    @rule(answers=st.integers(0, 2))
+    def lose_answers(self, answers: int) -> None:
+        """Lose the next answers of servers."""
         self.hosts.lost_order_answers = answers
 
     @invariant()
     def takes_no_older_order(self) -> None:
         """No server takes an order after a newer one."""
-        if not hasattr(self, "hosts"):
+        if self.hosts is None:
             return
         for server in self.hosts.servers:
             tokens = list_tokens(self.hosts, server)
             assert tokens == sorted(tokens)
 
 
-@seed(20261204)
-@settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
-    deadline=None,
-    phases=(Phase.explicit, Phase.generate),
-    suppress_health_check=list(HealthCheck),
-)
+@seed(SEED)
+@HISTORY_SETTINGS
 class SeededOrderMachine(OrderMachine):
     """The machine with its fixed seed."""
 
@@ -151,6 +133,89 @@
     """Random histories bring no server an older order."""
 
 
+class PurchaseMachine(FaultRules):
+    """Changing numbers of wanted servers among the faults."""
+
+    policy = POLICY
+
+    @initialize()
+    def start(self) -> None:
+        """Start the daemons, and ask for two servers."""
+        self.hosts = build_hosts()
+        self.wanted = 2
+        write_capacity(self.hosts, "h0", 2)
+
+    @rule(via=st.sampled_from(NAMES), more=st.integers(1, 3))
+    def want_more(self, via: str, more: int) -> None:
+        """Ask for more servers."""
+        self.wanted += more
+        write_capacity(self.hosts, via, self.wanted)
+
+    @invariant()
+    def orders_each_id_once(self) -> None:
+        """No order id comes with two contents, and no more is ordered than wanted."""
+        if self.hosts is None:
+            return
+        sent = {
+            (m.order_id, m.model, m.count)
+            for m in self.hosts.platform_messages
+            if isinstance(m, OrderServers)
+        }
+        ids = [order_id for order_id, _, _ in sent]
+        assert len(ids) == len(set(ids))
+        accepted = sum(o.count for o in self.hosts.platform.orders.values())
+        assert accepted <= self.wanted
+
+    def teardown(self) -> None:
+        """In the end what was accepted as wanted is ordered."""
+        if self.hosts is None:
+            return
+        self.end_faults(40.0)
+        record = self.hosts.platform.objects[CAPACITY].record
+        accepted = sum(o.count for o in self.hosts.platform.orders.values())
+        assert accepted == record.count
+
+
+@seed(SEED)
+@HISTORY_SETTINGS
+class SeededPurchaseMachine(PurchaseMachine):
+    """The machine with its fixed seed."""
+
+
+class PurchaseHistoryTest(SeededPurchaseMachine.TestCase):  # type: ignore[name-defined, misc]
+    """Random histories order what is wanted, once."""
+
+
+class PurchaseTest(unittest.TestCase):
+    """Servers are ordered once, however late calls arrive."""
+
+    def count_accepted(self, hosts: VirtualHosts) -> int:
+        """Return how many servers the platform was ordered."""
+        return sum(order.count for order in hosts.platform.orders.values())
+
+    def test_order_that_arrives_late(self) -> None:
+        """An order without a reply is sent again as it was, not made anew."""
+        hosts = build_hosts()
+        hosts.delays.append(lambda message: isinstance(message, OrderServers))
+        write_capacity(hosts, "h0", 2)
+        hosts.run_for(40)
+        self.assertEqual(self.count_accepted(hosts), 2)
+
+    def test_order_waits_for_its_record(self) -> None:
+        """Nothing is ordered before the record of it is known to stand."""
+        hosts = build_hosts()
+
+        def is_record(message: object) -> bool:
+            return isinstance(message, PutObject) and message.key.kind == "purchase"
+
+        hosts.delays.append(is_record)
+        write_capacity(hosts, "h0", 2)
+        hosts.run_for(4)
+        self.assertEqual(self.count_accepted(hosts), 0)
+        hosts.run_for(40)
+        self.assertEqual(self.count_accepted(hosts), 2)
+
+
 class OrderTest(unittest.TestCase):
     """Orders are recorded, sent, answered, and held back where in doubt."""
 
--- a/packages/geraniumhall-bench/tests/test_rates.py
+++ b/packages/geraniumhall-bench/tests/test_rates.py
@@ -1,16 +1,15 @@
 """No workspace gets more than its rate and burst across all hosts together."""
 
-import os
 import unittest
-from collections import deque
 from itertools import count
 from random import Random
 
-from hypothesis import HealthCheck, seed, settings
+from histories import HISTORY_SETTINGS, NAMES, PLACES, SEED, FaultRules
+from hypothesis import seed
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import initialize, invariant, rule
 
-from geraniumhall_bench.virtual_hosts import PLATFORM_NAME, VirtualHosts
+from geraniumhall_bench.virtual import VirtualHosts
 from geraniumhall_core.admin import WriteRecord
 from geraniumhall_core.catalogue import (
     BackendServer,
@@ -22,15 +21,11 @@
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.requests import CallerRequest, ModelTarget
 
-NAMES = ("h0", "h1", "h2")
-PLACES = (*NAMES, PLATFORM_NAME)
 RATE = 4.0
 BURST = 6.0
 SETTLE_SECONDS = 8.0
 TOLERANCE = 1e-6
 WORKSPACE = ObjectKey("workspace", "audit")
-EXAMPLES = int(os.environ.get("GERANIUMHALL_EXAMPLES", "30"))
-STEPS = int(os.environ.get("GERANIUMHALL_STEPS", "25"))
 
 
 def build_hosts(rate: float = RATE, burst: float = BURST) -> VirtualHosts:
@@ -70,15 +65,14 @@
     return worst
 
 
-class RateMachine(RuleBasedStateMachine):
-    """Random requests, cuts, pauses, restarts and edits."""
+class RateMachine(FaultRules):
+    """Requests and edits among the faults."""
 
     @initialize()
     def start(self) -> None:
         """Start three daemons."""
         self.hosts = build_hosts()
         self.ids = count(1)
-        self.checked: deque[float] = deque()
 
     @rule(host=st.sampled_from(NAMES), number=st.integers(1, 9))
     def request(self, host: str, number: int) -> None:
@@ -89,41 +83,6 @@
             )
             self.hosts.request(host, request)
 
-    @rule(seconds=st.sampled_from([0.001, 0.01, 0.2, 1.0, 3.0, 9.0]))
-    def wait(self, seconds: float) -> None:
-        """Let time pass."""
-        self.hosts.run_for(seconds)
-
-    @rule(
-        one=st.sampled_from(NAMES),
-        other=st.sampled_from(PLACES),
-        both=st.booleans(),
-    )
-    def cut(self, one: str, other: str, both: bool) -> None:
-        """Cut one direction or both."""
-        self.hosts.cut(one, other, both)
-
-    @rule()
-    def heal(self) -> None:
-        """Undo the cuts."""
-        self.hosts.heal()
-
-    @rule(host=st.sampled_from(NAMES))
-    def pause(self, host: str) -> None:
-        """Pause a daemon."""
-        self.hosts.pause(host)
-
-    @rule(host=st.sampled_from(NAMES))
-    def resume(self, host: str) -> None:
-        """Let a paused daemon go on."""
-        self.hosts.resume(host)
-
-    @rule(host=st.sampled_from(NAMES))
-    def restart(self, host: str) -> None:
-        """Kill a daemon and start another on its host."""
-        self.hosts.kill(host)
-        self.hosts.start(host)
-
     @rule(
         via=st.sampled_from(NAMES),
         holders=st.sets(st.sampled_from(NAMES), min_size=1),
@@ -138,12 +97,9 @@
 
     def teardown(self) -> None:
         """In the end every request has ended and no round goes on."""
-        if not hasattr(self, "hosts"):
+        if self.hosts is None:
             return
-        self.hosts.heal()
-        for host in NAMES:
-            self.hosts.resume(host)
-        self.hosts.run_for(70.0)
+        self.end_faults(70.0)
         for daemon in self.hosts.daemons.values():
             assert daemon.state.requests == {}
             assert daemon.state.borrows == {}
@@ -151,19 +107,14 @@
     @invariant()
     def stays_within_rate_and_burst(self) -> None:
         """All hosts together stay within rate and burst in every window."""
-        if not hasattr(self, "hosts"):
+        if self.hosts is None:
             return
         times = [started.at for started in self.hosts.started]
         assert find_excess(times, RATE, BURST) <= TOLERANCE
 
 
-@seed(20261204)
-@settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
-    deadline=None,
-    suppress_health_check=list(HealthCheck),
-)
+@seed(SEED)
+@HISTORY_SETTINGS
 class SeededRateMachine(RateMachine):
     """The machine with its fixed seed."""
 
--- a/packages/geraniumhall-bench/tests/test_scenarios.py
+++ b/packages/geraniumhall-bench/tests/test_scenarios.py
@@ -7,12 +7,7 @@
 import trio
 
 from geraniumhall_bench import steps
-from geraniumhall_bench.scenario import (
-    SCENARIO_FOLDER,
-    STEPS,
-    Scenario,
-    ScenarioError,
-)
+from geraniumhall_bench.scenario import SCENARIO_FOLDER, STEPS, Scenario, ScenarioError
 
 __all__ = ["steps"]
 
--- a/packages/geraniumhall-cli/src/geraniumhall_cli/main.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/main.py
@@ -6,11 +6,7 @@
 
 from fire import Fire
 
-from geraniumhall_cli.client import (
-    ADDRESS_VARIABLE,
-    DEFAULT_ADDRESS,
-    UnreachableError,
-)
+from geraniumhall_cli.client import ADDRESS_VARIABLE, DEFAULT_ADDRESS, UnreachableError
 from geraniumhall_cli.commands import Commands
 from geraniumhall_cli.output import EXIT_UNREACHABLE, EXIT_USAGE
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -13,14 +13,10 @@
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.orders import ServerWish
 from geraniumhall_core.peering import HostRecord
-from geraniumhall_core.records import (
-    DELETED,
-    RECORD_KINDS,
-    ObjectKey,
-    VersionedRecord,
-)
+from geraniumhall_core.purchases import CapacityWish
+from geraniumhall_core.records import DELETED, RECORD_KINDS, ObjectKey, VersionedRecord
 
-CATALOGUE_KINDS = ("entry", "workspace", "key", "server", "host", "wish")
+CATALOGUE_KINDS = ("entry", "workspace", "key", "server", "host", "wish", "capacity")
 
 
 class ServiceClass(Enum):
@@ -149,6 +145,11 @@
         """Roles that operators want, by backend server."""
         return self.tables["wish"]
 
+    @property
+    def capacities(self) -> dict[str, CapacityWish]:
+        """Numbers of backend servers that operators want, by name."""
+        return self.tables["capacity"]
+
     def list_changes(self, after: int) -> tuple[VersionedRecord, ...]:
         """Return the newest version of each object that changed after `after`.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -24,12 +24,7 @@
     UNKNOWN_ROUTE,
     Refusal,
 )
-from geraniumhall_core.requests import (
-    CallerRequest,
-    ModelTarget,
-    Phase,
-    RequestRecord,
-)
+from geraniumhall_core.requests import CallerRequest, ModelTarget, Phase, RequestRecord
 from geraniumhall_core.state import DaemonState
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
@@ -6,17 +6,10 @@
 
 from collections.abc import Iterable, Iterator
 
-from geraniumhall_core.catalogue import (
-    CATALOGUE_KINDS,
-    apply_changes,
-    apply_listing,
-)
+from geraniumhall_core.catalogue import CATALOGUE_KINDS, apply_changes, apply_listing
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import PlatformAnswered
-from geraniumhall_core.handlers.membership_view import (
-    is_watcher,
-    list_unheard_hosts,
-)
+from geraniumhall_core.handlers.membership_view import is_watcher, list_unheard_hosts
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.shares import find_raise_time, resize_buckets
 from geraniumhall_core.platform import (
@@ -145,10 +138,7 @@
     yield WriteLog(
         level="info",
         event="catalogue_applied",
-        fields=(
-            LogField("revision", newest),
-            LogField("changes", len(applied)),
-        ),
+        fields=(LogField("revision", newest), LogField("changes", len(applied))),
     )
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -99,6 +99,7 @@
         for name in state.catalogue.wishes
         if name in servers
     }
+    domains |= {wish.failure_domain for wish in state.catalogue.capacities.values()}
     return [USAGE_LEASE, *(name_order_lease(domain) for domain in sorted(domains))]
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -22,6 +22,7 @@
     unregister_host,
 )
 from geraniumhall_core.handlers.orders import tend_orders
+from geraniumhall_core.handlers.purchases import tend_purchases
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.sealing import tend_sealing
 from geraniumhall_core.handlers.usage import flush_usage, settle_usage
@@ -41,6 +42,7 @@
     yield from settle_usage(state, event.at, event.wall_time)
     yield from tend_sealing(state, event.at)
     yield from tend_orders(state, event.at)
+    yield from tend_purchases(state, event.at)
     yield from _report_metrics(state, event.at)
     yield from _advance_drain(state, event.at)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/sealing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/sealing.py
@@ -155,10 +155,7 @@
 
 
 def _find_due_window(
-    state: DaemonState,
-    parts: list[VersionedRecord],
-    sealed: set[int],
-    wall_time: float,
+    state: DaemonState, parts: list[VersionedRecord], sealed: set[int], wall_time: float
 ) -> int | None:
     grace = state.policy.seal_grace
     oldest = state.usage.find_window(wall_time) - state.policy.seals_kept
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
@@ -120,10 +120,7 @@
 
 
 def _resolve_conflict(
-    state: DaemonState,
-    window: int,
-    opened: OpenWindow,
-    current: VersionedRecord | None,
+    state: DaemonState, window: int, opened: OpenWindow, current: VersionedRecord | None
 ) -> Iterator[Effect]:
     """Go on from the version that an earlier write with a lost reply left.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -5,6 +5,7 @@
 from geraniumhall_core.leases import Lease
 from geraniumhall_core.orders import OrderIntent
 from geraniumhall_core.platform import DeleteObject, Message, PutObject
+from geraniumhall_core.purchases import Purchase
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.usage import UsageLine, UsageSeal
 
@@ -64,6 +65,46 @@
     server: str
 
 
+@attrs.frozen
+class ReadPurchase(Purpose):
+    """Read the last order for backend servers under a wish."""
+
+    wish: str
+
+
+@attrs.frozen
+class CountOrdered(Purpose):
+    """Read what the platform was ordered so far, after order `number`."""
+
+    wish: str
+    number: int
+    version: int
+
+
+@attrs.frozen
+class StartPurchase(Purpose):
+    """Record an order for backend servers before it is sent."""
+
+    wish: str
+    purchase: Purchase
+
+
+@attrs.frozen
+class SendPurchase(Purpose):
+    """Order backend servers from the platform."""
+
+    wish: str
+    purchase: Purchase
+    version: int
+
+
+@attrs.frozen
+class FinishPurchase(Purpose):
+    """Record that the platform took an order."""
+
+    wish: str
+
+
 @attrs.frozen
 class FlushUsage(Purpose):
     """Write this process's counts of a window, as the part `sequence`."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -12,6 +12,7 @@
 from geraniumhall_core.orders import OrderState
 from geraniumhall_core.peering import Member, Membership
 from geraniumhall_core.policy import Policy
+from geraniumhall_core.purchases import PurchaseState
 from geraniumhall_core.requests import RequestRecord
 from geraniumhall_core.retries import RetryBudget
 from geraniumhall_core.usage import SealingState, UsageLedger
@@ -76,6 +77,7 @@
     turn: int = 0
     leases: dict[str, LeaseState] = attrs.field(factory=dict)
     orders: dict[str, OrderState] = attrs.field(factory=dict)
+    purchases: dict[str, PurchaseState] = attrs.field(factory=dict)
     sealing: SealingState = attrs.field(factory=SealingState)
     drain: DrainState = attrs.field(factory=DrainState)
     counters: Counter[str] = attrs.field(factory=Counter)
--- a/packages/geraniumhall-core/tests/test_attempts.py
+++ b/packages/geraniumhall-core/tests/test_attempts.py
@@ -2,13 +2,7 @@
 
 import unittest
 
-from builders import (
-    build_arrival,
-    build_end,
-    build_state,
-    find_effect,
-    reduce,
-)
+from builders import build_arrival, build_end, build_state, find_effect, reduce
 
 from geraniumhall_core.effects import (
     AbortResponse,
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
@@ -9,28 +9,18 @@
 from geraniumhall_core.admin import AdminAnswer, AdminCommand, WriteRecord
 from geraniumhall_core.events import AdminCalled
 from geraniumhall_core.keys import format_key
-from geraniumhall_core.refusals import Refusal
 from geraniumhall_daemon.daemon import Daemon
-from geraniumhall_daemon.health import HEALTH_CHECKS, answer_health
-from geraniumhall_net.server import (
-    PeerGoneError,
-    ReceivedRequest,
-    ServerConnection,
-    ServerLimits,
-    open_server_connection,
-)
-from geraniumhall_wire.admin_json import (
+from geraniumhall_daemon.serving import JSON_HEADERS, serve_connection
+from geraniumhall_net.server import ReceivedRequest, ServerConnection, ServerLimits
+from geraniumhall_wire.admin_answers import (
     AdminFault,
     AdminReply,
-    NewKey,
     encode_admin_answer,
     encode_admin_fault,
-    parse_admin_call,
 )
-from geraniumhall_wire.caller import Header, RequestHead
-from geraniumhall_wire.refusals import encode_refusal, get_status
+from geraniumhall_wire.admin_routes import NewKey, parse_admin_call
+from geraniumhall_wire.caller import RequestHead
 
-JSON_HEADERS: tuple[Header, ...] = ((b"content-type", b"application/json"),)
 KEY_ID_BYTES = 4
 SALT_BYTES = 8
 SECRET_BYTES = 32
@@ -38,32 +28,19 @@
 
 async def serve_operator(daemon: Daemon, stream: trio.abc.Stream) -> None:
     """Serve one operator's connection until it closes."""
-    async with open_server_connection(stream, ServerLimits()) as connection:
-        try:
-            while await _serve_request(daemon, connection):
-                pass
-        except PeerGoneError:
-            return
-
-
-async def _serve_request(daemon: Daemon, connection: ServerConnection) -> bool:
-    received = await connection.receive_request()
-    if received is None:
-        return False
-    if isinstance(received, Refusal):
-        body = encode_refusal(received)
-        await connection.send_response(get_status(received), JSON_HEADERS, body, True)
-        return False
-    if received.head.path in HEALTH_CHECKS:
-        await answer_health(daemon, connection, received.head.path)
-        return connection.start_next_cycle()
+    await serve_connection(daemon, stream, ServerLimits(), serve_command)
+
+
+async def serve_command(
+    daemon: Daemon, connection: ServerConnection, received: ReceivedRequest
+) -> bool:
+    """Answer one call; return whether the connection may go on."""
     reply = await _answer(daemon, received)
-    tag = str(reply.version).encode()
     headers = JSON_HEADERS
     if reply.version is not None:
-        headers = (*headers, (b"etag", b'"' + tag + b'"'))
+        headers = (*headers, (b"etag", f'"{reply.version}"'.encode()))
     await connection.send_response(reply.status, headers, reply.encode())
-    return connection.start_next_cycle()
+    return True
 
 
 async def _answer(daemon: Daemon, received: ReceivedRequest) -> AdminReply:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -79,6 +79,7 @@
     admin_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
     listeners: list[Listener] = attrs.field(factory=list)
     nursery: trio.Nursery | None = None
+    is_ending: bool = False
     ended: trio.Event = attrs.field(factory=trio.Event)
     _pending: deque[Event] = attrs.field(factory=deque)
     _is_dispatching: bool = False
@@ -126,6 +127,16 @@
         finally:
             self._is_dispatching = False
 
+    def end_exchange(self, request_id: str) -> None:
+        """Forget a request whose answer was sent."""
+        del self.exchanges[request_id]
+        self.end_when_idle()
+
+    def end_when_idle(self) -> None:
+        """End the process if it should, once no answer is being sent."""
+        if self.is_ending and not self.exchanges:
+            self.ended.set()
+
     def read_now(self) -> float:
         """Return the time for an event."""
         return self.clock.read_now()
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/drivers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/drivers.py
@@ -12,12 +12,7 @@
 import attrs
 import trio
 
-from geraniumhall_core.platform import (
-    Answer,
-    Message,
-    PlatformFailure,
-    WatchObjects,
-)
+from geraniumhall_core.platform import Answer, Message, PlatformFailure, WatchObjects
 from geraniumhall_core.platform_model import (
     PLATFORM,
     AnswerCall,
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
@@ -113,5 +113,6 @@
 
 @PERFORMERS.performs(EndProcess)
 def end_process(daemon: Daemon, effect: EndProcess) -> None:
-    """Let the process end."""
-    daemon.ended.set()
+    """Let the process end when the last answer was sent."""
+    daemon.is_ending = True
+    daemon.end_when_idle()
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -14,6 +14,7 @@
 from geraniumhall_core.verdict import Verdict
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_daemon.exchanges import EXCHANGE_STEPS, Exchange
+from geraniumhall_daemon.serving import send_refusal
 from geraniumhall_net.client import (
     ClientConnection,
     ConnectFailedError,
@@ -23,17 +24,12 @@
 from geraniumhall_net.server import PeerGoneError
 from geraniumhall_wire.answers import Scanner, ScanResult, choose_scanner
 from geraniumhall_wire.caller import ATTEMPT_HEADER, HOP_HEADERS, Header
-from geraniumhall_wire.refusals import (
-    encode_refusal,
-    encode_refusal_event,
-    get_status,
-)
+from geraniumhall_wire.refusals import encode_refusal_event
 
 MAX_BUFFERED_BYTES = 1 << 20
 SILENCE_STEP_SECONDS = 0.25
 STATUS_UNAVAILABLE = 503
 EVENT_STREAM = b"text/event-stream"
-JSON_HEADERS = ((b"content-type", b"application/json"),)
 
 
 @attrs.frozen
@@ -222,16 +218,9 @@
     daemon: Daemon, exchange: Exchange, effect: RefuseRequest
 ) -> None:
     """Answer with a refusal."""
-    refusal = effect.refusal
-    headers: tuple[Header, ...] = JSON_HEADERS
-    if refusal.retry_after is not None:
-        seconds = str(max(1, round(refusal.retry_after))).encode()
-        headers = (*headers, (b"retry-after", seconds))
     exchange.is_finished = True
     exchange.must_close = exchange.must_close or daemon.state.is_draining
-    await exchange.connection.send_response(
-        get_status(refusal), headers, encode_refusal(refusal), exchange.must_close
-    )
+    await send_refusal(exchange.connection, effect.refusal, exchange.must_close)
 
 
 @EXCHANGE_STEPS.register(AbortResponse)
--- /dev/null
+++ b/packages/geraniumhall-daemon/tests/test_edges.py
@@ -0,0 +1,106 @@
+"""Faulty requests get their status and leave the daemon well."""
+
+import socket
+import unittest
+from json import loads
+
+import trio.testing
+from session import KEY, Session, build_chat, run_session
+
+from geraniumhall_core.effects import EmitMetrics, Metric
+from geraniumhall_daemon.callers import serve_caller
+from geraniumhall_daemon.metrics import MetricsSink
+from geraniumhall_wire.settings import MetricsSettings
+
+CHAT = b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n"
+BODY = b'{"model": "draft", "messages": [{"role": "user", "content": "hi"}]}'
+HUGE = str(9 * 2**20).encode()
+
+
+def build_raw(head: bytes, body: bytes = BODY) -> bytes:
+    """Return the bytes of a request."""
+    length = str(len(body)).encode()
+    return head + b"content-length: " + length + b"\r\n\r\n" + body
+
+
+def with_key(key: str) -> bytes:
+    """Return a chat request's head with a key."""
+    return CHAT + b"authorization: Bearer " + key.encode() + b"\r\n"
+
+
+CASES = {
+    b"nonsense\r\n\r\n": (400, "malformed"),
+    CHAT + b"content-length: x\r\n\r\n": (400, "malformed"),
+    CHAT + b"x: " + b"y" * 40000 + b"\r\n\r\n": (431, "head_too_large"),
+    CHAT + b"content-length: " + HUGE + b"\r\n\r\n": (413, "body_too_large"),
+    CHAT + b"content-length: 9\r\n\r\nabc": (408, "request_timeout"),
+    build_raw(with_key(KEY), b"{"): (400, "malformed"),
+    build_raw(with_key(KEY), b"[]"): (400, "malformed"),
+    build_raw(with_key(KEY), BODY.replace(b"draft", b"nope")): (404, "unknown_model"),
+    build_raw(CHAT): (401, "key_missing"),
+    build_raw(with_key(KEY[:-1] + "x")): (401, "key_unknown"),
+    build_raw(with_key("nothing")): (401, "key_unknown"),
+    build_raw(with_key(KEY).replace(b"POST", b"PUT")): (405, "method_not_allowed"),
+    build_raw(b"POST /nowhere HTTP/1.1\r\nhost: a\r\n"): (404, "unknown_route"),
+}
+
+
+async def send_raw(session: Session, request: bytes) -> bytes:
+    """Send bytes on a connection of their own and return the first answer."""
+    near, far = trio.testing.memory_stream_pair()
+    session.nursery.start_soon(serve_caller, session.daemon, far)
+    await near.send_all(request)
+    return bytes(await near.receive_some(10000))
+
+
+class EdgeTest(unittest.TestCase):
+    """Every fault has its status, its code and the verdict not run."""
+
+    def test_faults(self) -> None:
+        """Each faulty request is refused, and a good one served after it."""
+
+        async def test(session: Session) -> None:
+            for request, (status, code) in CASES.items():
+                with self.subTest(request=request[:80]):
+                    answer = await send_raw(session, request)
+                    head, _, body = answer.partition(b"\r\n\r\n")
+                    error = loads(body)["error"]
+                    found = (int(head.split()[1]), error["code"], error["verdict"])
+                    self.assertEqual(found, (status, code, "not_run"))
+            head, _ = await session.call(build_chat())
+            self.assertEqual(head.status, 200)
+
+        run_session(test)
+
+    def test_health(self) -> None:
+        """Health and readiness are answered without a key."""
+
+        async def test(session: Session) -> None:
+            for path in (b"/healthz", b"/readyz"):
+                request = b"GET " + path + b" HTTP/1.1\r\nhost: a\r\n\r\n"
+                answer = await send_raw(session, request)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+
+        run_session(test)
+
+
+class MetricsTest(unittest.TestCase):
+    """Metrics go out as one statsd datagram for a report."""
+
+    def test_report(self) -> None:
+        """Counters and gauges are in one datagram."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+            receiver.bind(("127.0.0.1", 0))
+            host, port = receiver.getsockname()
+            sink = MetricsSink.from_settings(MetricsSettings(statsd=f"{host}:{port}"))
+            report = EmitMetrics(
+                counters=(Metric("requests.accepted", 3),),
+                gauges=(Metric("requests.open", 1),),
+            )
+            sink.send(report)
+            lines = receiver.recv(1000).split(b"\n")
+        expected = [
+            b"geraniumhall.requests.accepted:3|c",
+            b"geraniumhall.requests.open:1|g",
+        ]
+        self.assertEqual(lines, expected)
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -116,11 +116,7 @@
         return REQUEST_TIMEOUT if has_begun else None
 
     async def send_response(
-        self,
-        status: int,
-        headers: tuple[Header, ...],
-        body: bytes,
-        close: bool = False,
+        self, status: int, headers: tuple[Header, ...], body: bytes, close: bool = False
     ) -> None:
         """Send a whole response; raises `PeerGoneError`."""
         length = (b"content-length", str(len(body)).encode())
@@ -175,6 +171,8 @@
                 await self._receive_more()
             elif isinstance(event, h11.Request):
                 head = RequestHead(event.method, event.target, tuple(event.headers))
+                if _measure_head(head) > self._limits.max_head:
+                    return HEAD_TOO_LARGE
                 if _declared_length(head) > self._limits.max_body:
                     return BODY_TOO_LARGE
             elif isinstance(event, h11.Data):
@@ -225,6 +223,12 @@
         await trio.aclose_forcefully(stream)
 
 
+def _measure_head(head: RequestHead) -> int:
+    """Return about the size of a head; one that came whole passes the parser."""
+    fields = sum(len(name) + len(value) for name, value in head.headers)
+    return len(head.target) + fields
+
+
 def _declared_length(head: RequestHead) -> int:
     return int(head.find(b"content-length") or 0)
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_json.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
@@ -1,4 +1,4 @@
-"""JSON form of the admin API, version 1.
+"""JSON form of the admin API's calls, version 1.
 
 Each route is registered under its method and path; a path with a name in
 braces takes one segment there::
@@ -8,54 +8,34 @@
 """
 
 from collections.abc import Callable
-from json import dumps, loads
-from typing import Any
+from json import loads
 
 import attrs
 
 from geraniumhall_core.admin import (
-    AdminAnswer,
     AdminCommand,
     DeleteRecord,
-    DrainStarted,
-    InvalidRecord,
     ListRecords,
-    MemberStatuses,
-    NotJoined,
-    PlatformResult,
     ReadDump,
     ReadHosts,
     ReadMembers,
     ReadRecord,
     ReadServers,
     ReadStatus,
-    ServerStatuses,
     StartDrain,
-    StateDump,
-    Status,
     WriteRecord,
 )
 from geraniumhall_core.catalogue import CATALOGUE_KINDS
 from geraniumhall_core.keys import KeyRecord
-from geraniumhall_core.platform import (
-    Answer,
-    Conflict,
-    HostListing,
-    Listing,
-    ObjectFound,
-    ObjectMissing,
-    PlatformFailure,
-    Written,
-)
-from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.registry import Registry
+from geraniumhall_wire.admin_answers import AdminFault
 from geraniumhall_wire.caller import RequestHead
 from geraniumhall_wire.converter import InvalidDataError
-from geraniumhall_wire.description import describe
-from geraniumhall_wire.platform_json import decode_record, encode_record
+from geraniumhall_wire.platform_json import decode_record
 
 ADMIN_PREFIX = "/admin/v1"
-EDITABLE_KINDS = ("entry", "workspace", "server", "wish")
+EDITABLE_KINDS = ("entry", "workspace", "server", "wish", "capacity")
 
 
 @attrs.frozen
@@ -77,35 +57,9 @@
     new_key: NewKey
 
 
-@attrs.frozen
-class AdminFault:
-    """A call that was refused before it reached the reducer."""
-
-    status: int
-    code: str
-    reason: str
-    path: str = ""
-
-
-@attrs.frozen
-class AdminReply:
-    """Status, JSON value and version tag of an answer."""
-
-    status: int
-    data: Any
-    version: int | None = None
-
-    def encode(self) -> bytes:
-        """Return the JSON body."""
-        return dumps(self.data, default=str).encode() + b"\n"
-
-
 AdminRoute = Callable[[AdminCall], AdminCommand | AdminFault]
 ADMIN_ROUTES: Registry[tuple[str, str], AdminRoute] = Registry("admin route")
 
-AnswerEncoder = Callable[[Any], AdminReply]
-ANSWER_ENCODERS: Registry[type, AnswerEncoder] = Registry("answer encoder")
-
 
 def parse_admin_call(
     head: RequestHead, body: bytes, new_key: NewKey
@@ -127,17 +81,6 @@
     return AdminFault(404, "unknown_route", f"no route {head.path}")
 
 
-def encode_admin_answer(answer: AdminAnswer) -> AdminReply:
-    """Return the reply for an answer of the reducer."""
-    return ANSWER_ENCODERS.find(type(answer))(answer)
-
-
-def encode_admin_fault(fault: AdminFault) -> AdminReply:
-    """Return the reply for a call that was refused."""
-    error = {"code": fault.code, "reason": fault.reason, "path": fault.path}
-    return AdminReply(fault.status, {"error": error})
-
-
 @ADMIN_ROUTES.register(("GET", f"{ADMIN_PREFIX}/status"))
 def parse_status(call: AdminCall) -> AdminCommand:
     """Read a summary of the daemon."""
@@ -227,101 +170,6 @@
     return WriteRecord(ObjectKey("key", key.key_id), record, 0)
 
 
-@ANSWER_ENCODERS.register(NotJoined)
-def encode_not_joined(answer: NotJoined) -> AdminReply:
-    """Encode the refusal of an edit by a daemon that has not joined yet."""
-    unheard = ", ".join(answer.unheard) or "the platform"
-    reason = f"this daemon takes edits once it has heard from {unheard}"
-    return encode_admin_fault(AdminFault(503, "not_joined", reason))
-
-
-@ANSWER_ENCODERS.register(Status, ServerStatuses, MemberStatuses, StateDump)
-def encode_description(answer: AdminAnswer) -> AdminReply:
-    """Encode an answer field by field, without secrets."""
-    return AdminReply(200, describe(answer))
-
-
-@ANSWER_ENCODERS.register(DrainStarted)
-def encode_drain(answer: DrainStarted) -> AdminReply:
-    """Encode the start of a planned stop."""
-    return AdminReply(202, {"draining": True})
-
-
-@ANSWER_ENCODERS.register(InvalidRecord)
-def encode_invalid(answer: InvalidRecord) -> AdminReply:
-    """Encode a fault in a record."""
-    fault = AdminFault(422, "invalid_record", answer.reason, answer.path)
-    return encode_admin_fault(fault)
-
-
-@ANSWER_ENCODERS.register(PlatformResult)
-def encode_result(answer: PlatformResult) -> AdminReply:
-    """Encode an answer of the platform."""
-    return ANSWER_ENCODERS.find(type(answer.answer))(answer.answer)
-
-
-@ANSWER_ENCODERS.register(ObjectFound)
-def encode_found(answer: ObjectFound) -> AdminReply:
-    """Encode one record."""
-    data = _describe_versioned(answer.object)
-    return AdminReply(200, data, answer.object.version)
-
-
-@ANSWER_ENCODERS.register(ObjectMissing)
-def encode_missing(answer: Answer) -> AdminReply:
-    """Encode the absence of a record."""
-    return encode_admin_fault(AdminFault(404, "not_found", "there is no such record"))
-
-
-@ANSWER_ENCODERS.register(Written)
-def encode_written(answer: Written) -> AdminReply:
-    """Encode a write that took effect."""
-    return AdminReply(200, {"version": answer.version}, answer.version)
-
-
-@ANSWER_ENCODERS.register(Conflict)
-def encode_conflict(answer: Conflict) -> AdminReply:
-    """Encode a lost race, with the record as it is now."""
-    current = _describe_versioned(answer.current) if answer.current else None
-    reason = "the record is not at the version of the condition"
-    error = {"code": "conflict", "reason": reason, "path": ""}
-    version = answer.current.version if answer.current else 0
-    return AdminReply(412, {"error": error, "current": current}, version)
-
-
-@ANSWER_ENCODERS.register(Listing)
-def encode_listing(answer: Listing) -> AdminReply:
-    """Encode the records of one kind."""
-    records = [_describe_versioned(item) for item in answer.objects]
-    return AdminReply(200, {"revision": answer.revision, "records": records})
-
-
-@ANSWER_ENCODERS.register(HostListing)
-def encode_hosts(answer: HostListing) -> AdminReply:
-    """Encode the platform's list of hosts."""
-    return AdminReply(200, describe(answer))
-
-
-@ANSWER_ENCODERS.register(PlatformFailure)
-def encode_failure(answer: PlatformFailure) -> AdminReply:
-    """Encode a failure of the platform, with what is known of the write."""
-    error = {
-        "code": "platform_failed",
-        "reason": answer.reason,
-        "verdict": answer.verdict.value,
-        "path": "",
-    }
-    return AdminReply(503, {"error": error})
-
-
-def _describe_versioned(item: VersionedRecord) -> dict[str, Any]:
-    if isinstance(item.record, KeyRecord):
-        record: Any = {"workspace": item.record.workspace}
-    else:
-        record = encode_record(item.record)
-    return {"name": item.key.name, "version": item.version, "record": record}
-
-
 def _match_template(template: str, segments: list[str]) -> dict[str, str] | None:
     parts = template.strip("/").split("/")
     if len(parts) != len(segments):
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/platform_json.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/platform_json.py
@@ -9,19 +9,8 @@
 
 from cattrs import Converter
 
-from geraniumhall_core.platform import (
-    ANSWERS,
-    MESSAGES,
-    Answer,
-    Message,
-    PutObject,
-)
-from geraniumhall_core.records import (
-    DELETED,
-    RECORD_KINDS,
-    ObjectKey,
-    VersionedRecord,
-)
+from geraniumhall_core.platform import ANSWERS, MESSAGES, Answer, Message, PutObject
+from geraniumhall_core.records import DELETED, RECORD_KINDS, ObjectKey, VersionedRecord
 from geraniumhall_core.registry import Registry, UnknownEntryError
 from geraniumhall_wire.converter import (
     Fault,
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -183,8 +183,7 @@
     """What is logged."""
 
     level: str = attrs.field(
-        default="info",
-        validator=validators.in_(("debug", "info", "warning", "error")),
+        default="info", validator=validators.in_(("debug", "info", "warning", "error"))
     )
 
 
--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -131,6 +131,22 @@
         "is_full = False",
         "test_hosts",
     ),
+    Mutation(
+        7,
+        "an order for servers is sent without its record",
+        f"{CORE}/handlers/purchases.py",
+        "if term is not None and isinstance(event.answer, Written):",
+        "if term is not None:",
+        "test_orders",
+    ),
+    Mutation(
+        7,
+        "an open order for servers is counted anew",
+        f"{CORE}/handlers/purchases.py",
+        "if last.status is PurchaseStatus.OPEN:",
+        "if False:",
+        "test_orders",
+    ),
     Mutation(
         8,
         "a part whose write failed counts as written",
--- a/tools/make_reference.py
+++ b/tools/make_reference.py
@@ -19,9 +19,10 @@
     Workspace,
 )
 from geraniumhall_core.orders import ServerWish
+from geraniumhall_core.purchases import CapacityWish
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.routing import ROUTING_POLICIES
-from geraniumhall_wire.admin_json import ADMIN_ROUTES
+from geraniumhall_wire.admin_routes import ADMIN_ROUTES
 from geraniumhall_wire.refusals import STATUS_BY_CODE
 from geraniumhall_wire.settings import Settings
 
@@ -32,6 +33,7 @@
     "entry limits": EntryLimits,
     "server": BackendServer,
     "wish": ServerWish,
+    "capacity": CapacityWish,
 }
 
 
