Watch in rounds of one second, and connect to IP numbers directly

Cause: a fleet of virtual daemons showed that with watches of two seconds the copies of non-watchers grow older than four fifths of the bound, so that every daemon watched the platform itself (9 of 9; 576 of 590 with 129 calls a second, and 195 of 590 not fresh). Opening a TCP stream through the resolver cost 0.45 ms of processor time. Change: catalogue.watch_wait is 1 s; members of large fleets are suspected later, since pulls are bounded; connections to IP numbers skip the resolver.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
@@ -6,12 +6,19 @@
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.state import DaemonState
 
+MEMBERS_HEARD_IN_TIME = 40
+
 
 def is_live(state: DaemonState, known: KnownMember, now: float) -> bool:
-    """Tell whether a member was heard lately and is not leaving."""
+    """Tell whether a member was heard lately and is not leaving.
+
+    Pulls have a bounded size, so a member of a large fleet is heard less often
+    and is suspected later.
+    """
     if known.member.leaving:
         return False
-    return now - known.heard_at <= state.policy.suspect_after
+    crowd = len(state.membership.known) / MEMBERS_HEARD_IN_TIME
+    return now - known.heard_at <= state.policy.suspect_after * max(1.0, crowd)
 
 
 def is_watcher(state: DaemonState, now: float) -> bool:
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -17,7 +17,7 @@
     routing: str = "prefix_affinity"
     sharing: str = "borrow"
     stale_after: float = 5.0
-    watch_wait: float = 2.0
+    watch_wait: float = 1.0
     max_attempts: int = 3
     retry_ratio: float = 0.1
     retry_burst: float = 10.0
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable, Callable
 from json import dumps
+from socket import AF_INET, AF_INET6
 
 import attrs
 import h11
@@ -50,13 +51,21 @@
 async def connect_tcp(address: str) -> trio.abc.Stream:
     """Connect to an address such as ``127.0.0.1:80``.
 
+    Hosts are IP numbers, so there is nothing to resolve and one way to try.
     Raises `ConnectFailedError`.
     """
     host, port = split_address(address)
+    family = AF_INET6 if ":" in host else AF_INET
+    connecting = trio.socket.socket(family)
     try:
-        return await trio.open_tcp_stream(host, port)
+        await connecting.connect((host, port))
     except OSError as error:
+        connecting.close()
         raise ConnectFailedError(f"{address}: {error}") from error
+    except trio.Cancelled:
+        connecting.close()
+        raise
+    return trio.SocketStream(connecting)
 
 
 @attrs.define(eq=False)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -107,7 +107,7 @@
     """How current the copy of the catalogue must be."""
 
     stale_after: Seconds = Seconds(5.0)
-    watch_wait: Seconds = Seconds(2.0)
+    watch_wait: Seconds = Seconds(1.0)
 
 
 @attrs.frozen(kw_only=True)
