Put the last steps into dumps, and end broken answers by their kind

Cause: reading the code as a newcomer: the design page said that a dump holds the last steps, and it did not; an aborted answer that was no event stream got the text of an event; a loop condition had two meanings. Change: dumps by admin API and signal carry the recorder's steps; only event streams get the error event; the room of a deleted entry is infinite.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -1,6 +1,7 @@
 """Sends accepted requests to backend servers and decides what a failure means."""
 
 from collections.abc import Iterator
+from math import inf
 
 from geraniumhall_core.effects import (
     AbortResponse,
@@ -73,11 +74,15 @@
 def dispatch_waiting(
     state: DaemonState, entry: str, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
-    """Start waiting requests of an entry while it has room."""
+    """Start waiting requests of an entry while it has room.
+
+    Those of an entry that was deleted are all started, and refused for want
+    of a backend server.
+    """
     queue = state.find_queue(entry)
     known = state.catalogue.entries.get(entry)
-    room = known.limits.max_running if known else 0
-    while queue.running < room or known is None:
+    room = known.limits.max_running if known else inf
+    while queue.running < room:
         request_id = queue.take_next()
         if request_id is None:
             return
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from geraniumhall_core.admin import AdminAnswer, AdminCommand, WriteRecord
+from geraniumhall_core.admin import AdminAnswer, AdminCommand, ReadDump, WriteRecord
 from geraniumhall_core.events import AdminCalled
 from geraniumhall_core.keys import format_key
 from geraniumhall_daemon.daemon import Daemon
@@ -54,6 +54,8 @@
     if isinstance(command, AdminFault):
         return encode_admin_fault(command)
     reply = encode_admin_answer(await _call(daemon, command))
+    if isinstance(command, ReadDump):
+        reply.data["recent"] = daemon.recorder.describe_steps()
     if isinstance(command, WriteRecord) and command.key.name == new_key.key_id:
         return _add_key(reply, new_key)
     return reply
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -3,7 +3,7 @@
 from collections import deque
 from itertools import count
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import trio
@@ -21,6 +21,7 @@
 from geraniumhall_daemon.peers import PeerTransport
 from geraniumhall_net.client import ClientPool, Connector, connect_tcp
 from geraniumhall_net.listener import Listener
+from geraniumhall_wire.description import describe
 from geraniumhall_wire.settings import Settings
 
 TICK_SECONDS = 0.25
@@ -47,6 +48,9 @@
     def record(self, event: Event, effects: tuple[Effect, ...]) -> None:
         """Take one event and what it led to."""
 
+    def describe_steps(self) -> list[Any]:
+        """Return the steps it keeps as plain data, without secrets."""
+
 
 @attrs.define
 class RecentHistory:
@@ -60,6 +64,10 @@
         """Keep one step and forget the oldest."""
         self.steps.append((event, effects))
 
+    def describe_steps(self) -> list[Any]:
+        """Return the last steps, oldest first."""
+        return describe(self.steps)
+
 
 @attrs.define(eq=False, kw_only=True)
 class Daemon:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/exchanges.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/exchanges.py
@@ -35,6 +35,7 @@
     connection: ServerConnection
     is_finished: bool = False
     must_close: bool = False
+    is_event_stream: bool = False
     _effects: deque[Effect] = attrs.field(factory=deque, init=False)
     _arrival: trio.Event | None = attrs.field(default=None, init=False)
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
@@ -94,8 +94,9 @@
 
 @PERFORMERS.performs(WriteDump)
 def write_dump(daemon: Daemon, effect: WriteDump) -> None:
-    """Write the state to the log as one line."""
-    write_log("info", "state_dump", {"state": describe(daemon.state)})
+    """Write the state and the last steps to the log as one line."""
+    dump = {"state": describe(daemon.state), "recent": daemon.recorder.describe_steps()}
+    write_log("info", "state_dump", dump)
 
 
 @PERFORMERS.performs(EmitMetrics)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -94,6 +94,7 @@
         content_type = head.find(b"content-type") or b""
         self.scanner = choose_scanner(content_type, is_model)
         if content_type.startswith(EVENT_STREAM):
+            self.exchange.is_event_stream = True
             first = await self._read_chunk()
         else:
             first = await self._read_buffered()
@@ -227,10 +228,11 @@
 async def abort_response(
     daemon: Daemon, exchange: Exchange, effect: AbortResponse
 ) -> None:
-    """Say why the answer is not whole, and end it without its end marker."""
+    """End an answer without its end marker; a stream also says why."""
     exchange.is_finished = True
     exchange.must_close = True
-    await exchange.connection.send_chunk(encode_refusal_event(effect.refusal))
+    if exchange.is_event_stream:
+        await exchange.connection.send_chunk(encode_refusal_event(effect.refusal))
 
 
 @EXCHANGE_STEPS.register(CloseExchange)
--- a/packages/geraniumhall-daemon/tests/session.py
+++ b/packages/geraniumhall-daemon/tests/session.py
@@ -96,6 +96,10 @@
         step = {"event": describe(event), "effects": describe(effects)}
         self.steps.append(dumps(step))
 
+    def describe_steps(self) -> list[Any]:
+        """Return nothing; the lines are the record."""
+        return []
+
     def record_bytes(self, edge: str, data: bytes) -> None:
         """Add bytes that crossed an edge."""
         self.edges.setdefault(edge, bytearray()).extend(data)
--- /dev/null
+++ b/packages/geraniumhall-daemon/tests/test_dump.py
@@ -0,0 +1,47 @@
+"""Tests of the state dump."""
+
+import unittest
+from json import dumps, loads
+
+import trio.testing
+from session import KEY_RECORD, SECRET, Session, build_chat, run_session
+
+from geraniumhall_daemon.admin import serve_operator
+from geraniumhall_daemon.daemon import RecentHistory
+from geraniumhall_net.client import ClientConnection, build_json_request
+
+
+class DumpTest(unittest.TestCase):
+    """A dump has the whole state and the last steps, without secrets."""
+
+    def setUp(self) -> None:
+        """Serve a request and read the dump by the admin API."""
+
+        async def test(session: Session) -> None:
+            session.daemon.recorder = RecentHistory()
+            await session.call(build_chat())
+            near, far = trio.testing.memory_stream_pair()
+            session.nursery.start_soon(serve_operator, session.daemon, far)
+            operator = ClientConnection.from_stream(near, "daemon")
+            request = build_json_request("GET", "/admin/v1/dump", None)
+            await operator.send_request(request)
+            await operator.read_head()
+            self.dump = loads(await operator.read_body())
+
+        run_session(test)
+
+    def test_state_is_there(self) -> None:
+        """The counters are among the state."""
+        counters = self.dump["state"]["counters"]
+        self.assertEqual(counters["requests.completed"], 1)
+
+    def test_last_steps_are_there(self) -> None:
+        """The request's events and effects are among the last steps."""
+        events = [event["type"] for event, _ in self.dump["recent"]]
+        self.assertIn("RequestArrived", events)
+
+    def test_no_secrets(self) -> None:
+        """Neither keys nor their hashes are in it."""
+        text = dumps(self.dump)
+        for secret in (SECRET, KEY_RECORD.hashed, "salt"):
+            self.assertNotIn(secret, text)
