Rank lease candidates among hosts that were not heard yet, while new

Cause: in a fleet of 590 virtual daemons that had just started, a third of the members counted as suspected and about 300 daemons looked at the usage lease, 100 platform calls a second.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
@@ -87,10 +87,8 @@
             state.peering.incarnation = found.incarnation + 1
         yield _write_record(state, answer.object.version)
     else:
-        policy = state.policy
-        delay = compute_backoff(
-            4, policy.reconnect_base, policy.reconnect_limit, event.draws[0]
-        )
+        limit = state.policy.reconnect_limit
+        delay = compute_backoff(0, limit, limit, event.draws[0])
         message = GetObject(_name_self(state))
         yield CallPlatform(purpose=RegisterHost(), message=message, delay=delay)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
@@ -1,5 +1,7 @@
 """What follows from the members that a daemon knows."""
 
+from math import inf
+
 from xxhash import xxh64_intdigest
 
 from geraniumhall_core.peering import KnownMember
@@ -17,8 +19,7 @@
     """
     if known.member.leaving:
         return False
-    crowd = len(state.membership.known) / MEMBERS_HEARD_IN_TIME
-    return now - known.heard_at <= state.policy.suspect_after * max(1.0, crowd)
+    return now - known.heard_at <= _find_patience(state)
 
 
 def is_watcher(state: DaemonState, now: float) -> bool:
@@ -39,14 +40,17 @@
 
 
 def rank_self(state: DaemonState, lease: str, now: float) -> int:
-    """Return how many live daemons come before this one for a lease.
+    """Return how many daemons that may be live come before this one for a lease.
 
-    Rendezvous hashing spreads the leases over the daemons.
+    Rendezvous hashing spreads the leases over the daemons. While this daemon
+    is new, those that it has not heard yet count as live, so that a fleet that
+    starts does not all ask for every lease.
     """
     own = _score_host(state.policy.host, lease)
+    is_new = now - state.peering.registered_at <= _find_patience(state)
     return sum(
-        _score_host(host, lease) > own and is_live(state, known, now)
-        for host, known in state.membership.known.items()
+        _score_host(host, lease) > own and _may_be_live(state, host, is_new, now)
+        for host in list_peer_addresses(state)
     )
 
 
@@ -62,6 +66,19 @@
     return addresses
 
 
+def _may_be_live(state: DaemonState, host: str, is_new: bool, now: float) -> bool:
+    known = state.membership.known.get(host)
+    if known is None or known.heard_at == -inf:
+        return is_new
+    return is_live(state, known, now)
+
+
+def _find_patience(state: DaemonState) -> float:
+    """Return for how many seconds a member may go unheard."""
+    members = max(len(state.membership.known), len(state.catalogue.hosts))
+    return state.policy.suspect_after * max(1.0, members / MEMBERS_HEARD_IN_TIME)
+
+
 def _score_host(host: str, lease: str) -> int:
     return xxh64_intdigest(f"{lease}/{host}")
 
