Pull from the domain's watchers, and remove hosts that are gone

Cause: 590 virtual daemons made 124 platform calls a second. Non-watchers pulled from their domain in turn, met a watcher every 18 s, and watched themselves. Besides, a dead host's record made every outage a stop, and a host removed by an operator could still confirm an edit that nobody waits for; and a deletion read back after a lost reply was confirmed before it was applied. Change: the near pull goes to the domain's two watchers.

--- a/packages/geraniumhall-bench/tests/test_hosts.py
+++ b/packages/geraniumhall-bench/tests/test_hosts.py
@@ -13,7 +13,7 @@
 )
 from geraniumhall_core.handlers.catalogue import is_catalogue_fresh
 from geraniumhall_core.keys import KeyRecord, parse_key
-from geraniumhall_core.platform import Written
+from geraniumhall_core.platform import ListedHost, WatchObjects, Written
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.requests import CallerRequest, ModelTarget
 
@@ -59,6 +59,13 @@
     return hosts.call_admin(via, DeleteRecord(KEY, version))
 
 
+def remove_host(hosts: VirtualHosts, via: str, host: str) -> None:
+    """Remove a host's record through a daemon."""
+    key = ObjectKey("host", host)
+    version = hosts.platform.objects[key].version
+    hosts.call_admin(via, DeleteRecord(key, version))
+
+
 def is_done(hosts: VirtualHosts, call_id: int) -> bool:
     """Tell whether an edit was confirmed to the operator."""
     answer = hosts.admin_answers.get(call_id)
@@ -117,6 +124,76 @@
         self.assertEqual(hosts.admin_answers[call_id], NotJoined(("h0",)))
 
 
+class HousekeepingTest(unittest.TestCase):
+    """Hosts that are gone leave the catalogue, and live ones come back."""
+
+    def list_hosts(self, hosts: VirtualHosts, *names: str) -> None:
+        """Let the platform list these hosts."""
+        hosts.platform.hosts = tuple(ListedHost(name, "d0") for name in names)
+
+    def test_gone_host_is_removed(self) -> None:
+        """An outage after the removal does not stop the others."""
+        hosts = build_hosts("h0", "h1", "h2")
+        hosts.kill("h2")
+        self.list_hosts(hosts, "h0", "h1")
+        hosts.run_for(90)
+        self.assertNotIn("h2", hosts.daemons["h0"].state.catalogue.hosts)
+        for host in ("h0", "h1"):
+            hosts.cut(host, PLATFORM_NAME)
+        hosts.run_for(60)
+        self.assertEqual(call(hosts, "h0", "r"), "started")
+
+    def test_host_that_is_heard_stays(self) -> None:
+        """The list lags; a host that answers its peers is not gone."""
+        hosts = build_hosts("h0", "h1", "h2")
+        self.list_hosts(hosts, "h0", "h1")
+        hosts.run_for(90)
+        logs = [line.event for d in hosts.daemons.values() for line in d.log]
+        self.assertNotIn("host_removed", logs)
+
+    def test_empty_list_removes_nobody(self) -> None:
+        """A platform that lists nobody is not believed."""
+        hosts = build_hosts("h0", "h1", "h2")
+        hosts.kill("h2")
+        hosts.run_for(90)
+        self.assertIn("h2", hosts.daemons["h0"].state.catalogue.hosts)
+
+    def test_removed_host_registers_again(self) -> None:
+        """A live daemon whose record was removed comes back by itself."""
+        hosts = build_hosts("h0", "h1", "h2")
+        remove_host(hosts, "h0", "h2")
+        hosts.run_for(10)
+        self.assertIn("h2", hosts.daemons["h0"].state.catalogue.hosts)
+
+    def test_removed_host_confirms_no_edit(self) -> None:
+        """An edit by a daemon that others no longer wait for is in doubt."""
+        hosts = build_hosts("h0", "h1", "h2")
+        remove_host(hosts, "h0", "h2")
+        hosts.run_for(0.001)
+        call_id = withdraw(hosts, "h2")
+        hosts.run_for(0.1)
+        self.assertFalse(is_done(hosts, call_id))
+        hosts.run_for(10)
+        self.assertFalse(is_done(hosts, call_id))
+
+    def test_lost_reply_to_a_deletion_is_confirmed_when_applied(self) -> None:
+        """A deletion read back is confirmed once this daemon's copy has it."""
+        hosts = build_hosts("h0", "h1", "h2")
+        for other in ("h1", "h2"):
+            hosts.kill(other)
+        call_id = withdraw(hosts, "h0")
+        hosts.cut(PLATFORM_NAME, "h0", both_ways=False)
+        hosts.run_for(0.05)
+        hosts.cuts.discard((PLATFORM_NAME, "h0"))
+        hosts.delays.append(lambda message: isinstance(message, WatchObjects))
+        for _ in range(800):
+            hosts.run_for(0.01)
+            if is_done(hosts, call_id):
+                break
+        self.assertTrue(is_done(hosts, call_id))
+        self.assertNotIn("k1", hosts.daemons["h0"].state.catalogue.keys)
+
+
 class FreshnessTest(unittest.TestCase):
     """A withdrawn key stops working within seconds, also behind a cut."""
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/catalogue.py
@@ -15,6 +15,7 @@
 from geraniumhall_core.platform import (
     Answer,
     Changes,
+    GetObject,
     HistoryGone,
     Listing,
     ListObjects,
@@ -22,7 +23,7 @@
     PlatformFailure,
     WatchObjects,
 )
-from geraniumhall_core.purposes import SyncCatalogue
+from geraniumhall_core.purposes import RegisterHost, SyncCatalogue
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.retries import compute_backoff
@@ -133,7 +134,7 @@
     resize_buckets(state, applied, now, is_first)
     for key in applied:
         if key.kind == "host":
-            _follow_host(state, key.name, now)
+            yield from _follow_host(state, key.name, now)
     newest = max(state.catalogue.versions[key] for key in applied)
     yield WriteLog(
         level="info",
@@ -142,13 +143,29 @@
     )
 
 
-def _follow_host(state: DaemonState, host: str, now: float) -> None:
-    if host not in state.catalogue.hosts:
+def _follow_host(state: DaemonState, host: str, now: float) -> Iterator[Effect]:
+    if host == state.policy.host:
+        yield from _follow_own_record(state)
+    elif host not in state.catalogue.hosts:
         state.membership.known.pop(host, None)
     elif host not in state.membership.known:
         state.peering.next_pull_at = now
 
 
+def _follow_own_record(state: DaemonState) -> Iterator[Effect]:
+    """Register again if this daemon's record was removed or replaced."""
+    key = ObjectKey("host", state.policy.host)
+    peering = state.peering
+    if not peering.record_version or state.is_draining:
+        return
+    if state.catalogue.versions[key] <= peering.record_version:
+        return
+    peering.record_version = 0
+    yield WriteLog(level="warning", event="host_record_lost")
+    if key.name not in state.catalogue.hosts:
+        yield CallPlatform(purpose=RegisterHost(), message=GetObject(key))
+
+
 def _retry_sync(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
     if isinstance(event.answer, HistoryGone):
         state.is_syncing = True
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/edits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/edits.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterator
 
-import attrs
-
 from geraniumhall_core.admin import DeleteRecord, NotJoined, PlatformResult, WriteRecord
 from geraniumhall_core.effects import AnswerAdmin, CallPlatform
 from geraniumhall_core.events import AdminCalled, PlatformAnswered
@@ -17,20 +15,20 @@
     Conflict,
     DeleteObject,
     GetObject,
-    Message,
     ObjectFound,
     ObjectMissing,
     PlatformFailure,
     PutObject,
     Written,
 )
-from geraniumhall_core.purposes import ConfirmEdit, ServeAdmin
-from geraniumhall_core.records import DELETED, VersionedRecord
+from geraniumhall_core.purposes import ConfirmEdit, ServeAdmin, VerifySelf
+from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
 READ_BACK_DELAY_SECONDS = 0.1
+MAX_READ_BACKS = 40
 
 
 @COMMAND_HANDLERS.register(WriteRecord)
@@ -69,26 +67,79 @@
     A write whose reply was lost is read back first.
     """
     message = purpose.message
-    if _is_unknown(event.answer) and isinstance(message, PutObject | DeleteObject):
-        yield CallPlatform(
-            purpose=ConfirmEdit(purpose.call_id, message),
-            message=GetObject(message.key),
-            delay=READ_BACK_DELAY_SECONDS,
-        )
-        return
-    answer = PlatformResult(event.answer)
-    yield from _apply_edit(state, event, message)
-    yield AnswerAdmin(call_id=purpose.call_id, answer=answer)
+    if not isinstance(message, PutObject | DeleteObject):
+        result = PlatformResult(event.answer)
+        yield AnswerAdmin(call_id=purpose.call_id, answer=result)
+    elif _is_unknown(event.answer):
+        yield _read_back(purpose.call_id, message, 1)
+    else:
+        yield from _conclude(state, event.at, purpose.call_id, message, event.answer)
 
 
 @ANSWER_HANDLERS.register(ConfirmEdit)
 def confirm_edit(
     state: DaemonState, event: PlatformAnswered, purpose: ConfirmEdit
 ) -> Iterator[Effect]:
-    """Tell the operator what became of a write whose reply was lost."""
-    judged = _judge_edit(event.answer, purpose.message)
-    yield from _apply_edit(state, attrs.evolve(event, answer=judged), purpose.message)
-    yield AnswerAdmin(call_id=purpose.call_id, answer=PlatformResult(judged))
+    """Tell the operator what became of a write whose reply was lost.
+
+    A deletion is confirmed once it has come to this daemon's copy, since its
+    version is not known before.
+    """
+    message = purpose.message
+    is_gone = isinstance(event.answer, ObjectMissing)
+    is_applied = state.catalogue.versions.get(message.key, 0) > message.if_version
+    if is_gone and not is_applied and purpose.attempt < MAX_READ_BACKS:
+        yield _read_back(purpose.call_id, message, purpose.attempt + 1)
+        return
+    judged = _judge_edit(event.answer, message, state)
+    yield from _conclude(state, event.at, purpose.call_id, message, judged)
+
+
+@ANSWER_HANDLERS.register(VerifySelf)
+def confirm_registered(
+    state: DaemonState, event: PlatformAnswered, purpose: VerifySelf
+) -> Iterator[Effect]:
+    """Confirm an edit to the operator if this daemon is still registered.
+
+    Others trust their copies without the platform if they hear every daemon
+    that is registered. One that was removed before its edit is not heard.
+    """
+    answer = event.answer
+    result = purpose.answer
+    version = state.peering.record_version
+    if not isinstance(answer, ObjectFound) or answer.object.version != version:
+        reason = "the edit took effect, but this daemon may not be registered any more"
+        result = PlatformFailure(reason, Verdict.MAY_HAVE_RUN)
+    yield AnswerAdmin(call_id=purpose.call_id, answer=PlatformResult(result))
+
+
+def _read_back(
+    call_id: int, message: PutObject | DeleteObject, attempt: int
+) -> CallPlatform:
+    return CallPlatform(
+        purpose=ConfirmEdit(call_id, message, attempt),
+        message=GetObject(message.key),
+        delay=READ_BACK_DELAY_SECONDS,
+    )
+
+
+def _conclude(
+    state: DaemonState,
+    now: float,
+    call_id: int,
+    message: PutObject | DeleteObject,
+    answer: Answer,
+) -> Iterator[Effect]:
+    """Apply an edit that took effect here, before the operator is told."""
+    if not isinstance(answer, Written):
+        yield AnswerAdmin(call_id=call_id, answer=PlatformResult(answer))
+        return
+    yield from _apply_edit(state, now, message, answer.version)
+    if state.peering.address:
+        own = ObjectKey("host", state.policy.host)
+        yield CallPlatform(purpose=VerifySelf(call_id, answer), message=GetObject(own))
+    else:
+        yield AnswerAdmin(call_id=call_id, answer=PlatformResult(answer))
 
 
 def _refuse_edit(state: DaemonState, event: AdminCalled) -> AnswerAdmin:
@@ -97,22 +148,17 @@
 
 
 def _apply_edit(
-    state: DaemonState, event: PlatformAnswered, message: Message
+    state: DaemonState, now: float, message: PutObject | DeleteObject, version: int
 ) -> Iterator[Effect]:
-    """Apply an edit that took effect, before the operator is told.
+    """Apply an edit to this daemon's copy, and note that it is the newest.
 
     Peers that pull from here get it even if the platform falls out of reach.
     """
-    if not isinstance(event.answer, Written) or not event.answer.version:
-        return
-    if not isinstance(message, PutObject | DeleteObject):
-        return
     record = message.record if isinstance(message, PutObject) else DELETED
-    version = event.answer.version
     state.peering.latest_written = max(state.peering.latest_written, version)
     change = VersionedRecord(message.key, version, record)
     revision = state.catalogue.revision
-    yield from apply_to_state(state, revision, (change,), event.at)
+    yield from apply_to_state(state, revision, (change,), now)
 
 
 def _is_unknown(answer: Answer) -> bool:
@@ -121,9 +167,13 @@
     return answer.verdict is not Verdict.NOT_RUN
 
 
-def _judge_edit(found: Answer, message: PutObject | DeleteObject) -> Answer:
-    if isinstance(found, ObjectMissing) and isinstance(message, DeleteObject):
-        return Written(0)
+def _judge_edit(
+    found: Answer, message: PutObject | DeleteObject, state: DaemonState
+) -> Answer:
+    version = state.catalogue.versions.get(message.key, 0)
+    is_gone = isinstance(found, ObjectMissing) and isinstance(message, DeleteObject)
+    if is_gone and version > message.if_version:
+        return Written(version)
     if not isinstance(found, ObjectFound):
         reason = "no reply to the write, and none to reading it back"
         return PlatformFailure(reason, Verdict.MAY_HAVE_RUN)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -21,6 +21,7 @@
 from geraniumhall_core.state import DaemonState
 
 USAGE_LEASE = "usage"
+HOSTS_LEASE = "hosts"
 CANDIDATES = 2
 CALL_FRACTION = 1 / 3
 
@@ -100,7 +101,8 @@
         if name in servers
     }
     domains |= {wish.failure_domain for wish in state.catalogue.capacities.values()}
-    return [USAGE_LEASE, *(name_order_lease(domain) for domain in sorted(domains))]
+    fixed = [USAGE_LEASE, HOSTS_LEASE]
+    return [*fixed, *(name_order_lease(domain) for domain in sorted(domains))]
 
 
 def _tend_lease(
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -15,6 +15,7 @@
 from geraniumhall_core.events import DrainRequested, DumpRequested, Ticked
 from geraniumhall_core.handlers.attempts import expire_waiting
 from geraniumhall_core.handlers.catalogue import resume_sync
+from geraniumhall_core.handlers.housekeeping import tend_hosts
 from geraniumhall_core.handlers.leases import give_up_leases, tend_leases
 from geraniumhall_core.handlers.membership import (
     note_joined,
@@ -43,6 +44,7 @@
     yield from tend_sealing(state, event.at)
     yield from tend_orders(state, event.at)
     yield from tend_purchases(state, event.at)
+    yield from tend_hosts(state, event.at)
     yield from _report_metrics(state, event.at)
     yield from _advance_drain(state, event.at)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
@@ -22,7 +22,11 @@
     confirm_catalogue,
     start_sync,
 )
-from geraniumhall_core.handlers.membership_view import has_joined, list_peer_addresses
+from geraniumhall_core.handlers.membership_view import (
+    has_joined,
+    list_peer_addresses,
+    list_watchers,
+)
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.peering import (
@@ -110,12 +114,12 @@
 
 
 def pull_from_peers(state: DaemonState, now: float) -> Iterator[Effect]:
-    """Ask a few peers in turn for what they know, one of them close by."""
+    """Ask a few peers in turn, and a watcher close by, for what they know."""
     peering = state.peering
     if not peering.address or now < peering.next_pull_at:
         return
     peering.next_pull_at = now + state.policy.pull_interval
-    for host, address in _choose_peers(state).items():
+    for host, address in _choose_peers(state, now).items():
         request = PullRequest(state.describe_self(), state.catalogue.revision)
         yield CallPeer(
             host=host, address=address, message=request, timeout=PULL_TIMEOUT_SECONDS
@@ -193,11 +197,8 @@
     yield from note_joined(state)
 
 
-def _choose_peers(state: DaemonState) -> dict[str, str]:
-    """Return addresses by host: some of all in turn, and one of the domain.
-
-    Daemons of the same failure domain have its watchers among them.
-    """
+def _choose_peers(state: DaemonState, now: float) -> dict[str, str]:
+    """Return addresses by host: some of all in turn, and a watcher's."""
     peering = state.peering
     addresses = sorted(list_peer_addresses(state).items())
     if not addresses:
@@ -207,16 +208,10 @@
         host, address = addresses[peering.turn % len(addresses)]
         peering.turn += 1
         chosen[host] = address
-    records = state.catalogue.hosts
-    domain = state.policy.failure_domain
-    near = [
-        (host, address)
-        for host, address in addresses
-        if host in records and records[host].failure_domain == domain
-    ]
-    if near:
-        host, address = near[peering.turn // PULL_FAN_OUT % len(near)]
-        chosen[host] = address
+    watchers = list_watchers(state, now)
+    if watchers:
+        host = watchers[peering.turn // PULL_FAN_OUT % len(watchers)]
+        chosen[host] = state.membership.known[host].member.address
     return chosen
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership_view.py
@@ -1,6 +1,6 @@
 """What follows from the members that a daemon knows."""
 
-from math import inf
+from heapq import nsmallest
 
 from xxhash import xxh64_intdigest
 
@@ -28,29 +28,31 @@
     The first live daemons of the domain by name are its watchers. Daemons
     that see different members may disagree, which costs platform calls only.
     """
+    before = [host for host in list_watchers(state, now) if host < state.policy.host]
+    return len(before) < state.policy.watchers_per_domain
+
+
+def list_watchers(state: DaemonState, now: float) -> list[str]:
+    """Return the other daemons that should watch for this failure domain."""
     policy = state.policy
-    before = [
+    near = [
         host
         for host, known in state.membership.known.items()
         if known.member.failure_domain == policy.failure_domain
-        and host < policy.host
         and is_live(state, known, now)
     ]
-    return len(before) < policy.watchers_per_domain
+    return nsmallest(policy.watchers_per_domain, near)
 
 
 def rank_self(state: DaemonState, lease: str, now: float) -> int:
-    """Return how many daemons that may be live come before this one for a lease.
+    """Return how many live daemons come before this one for a lease.
 
-    Rendezvous hashing spreads the leases over the daemons. While this daemon
-    is new, those that it has not heard yet count as live, so that a fleet that
-    starts does not all ask for every lease.
+    Rendezvous hashing spreads the leases over the daemons.
     """
     own = _score_host(state.policy.host, lease)
-    is_new = now - state.peering.registered_at <= _find_patience(state)
     return sum(
-        _score_host(host, lease) > own and _may_be_live(state, host, is_new, now)
-        for host in list_peer_addresses(state)
+        _score_host(host, lease) > own and is_live(state, known, now)
+        for host, known in state.membership.known.items()
     )
 
 
@@ -66,13 +68,6 @@
     return addresses
 
 
-def _may_be_live(state: DaemonState, host: str, is_new: bool, now: float) -> bool:
-    known = state.membership.known.get(host)
-    if known is None or known.heard_at == -inf:
-        return is_new
-    return is_live(state, known, now)
-
-
 def _find_patience(state: DaemonState) -> float:
     """Return for how many seconds a member may go unheard."""
     members = max(len(state.membership.known), len(state.catalogue.hosts))
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -4,7 +4,7 @@
 
 from geraniumhall_core.leases import Lease
 from geraniumhall_core.orders import OrderIntent
-from geraniumhall_core.platform import DeleteObject, Message, PutObject
+from geraniumhall_core.platform import Answer, DeleteObject, Message, PutObject
 from geraniumhall_core.purchases import Purchase
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.usage import UsageLine, UsageSeal
@@ -184,3 +184,24 @@
 
     call_id: int
     message: PutObject | DeleteObject
+    attempt: int
+
+
+@attrs.frozen
+class VerifySelf(Purpose):
+    """Read this daemon's own record before an edit is confirmed as `answer`."""
+
+    call_id: int
+    answer: Answer
+
+
+@attrs.frozen
+class ListGone(Purpose):
+    """Read the platform's list of hosts, to find those that are gone."""
+
+
+@attrs.frozen
+class RemoveHost(Purpose):
+    """Remove the record of a host that is gone."""
+
+    host: str
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -47,6 +47,15 @@
     turn: int = 0
 
 
+@attrs.define
+class HousekeepingState:
+    """Registered hosts that the platform did not list, since when in seconds."""
+
+    missing_since: dict[str, float] = attrs.field(factory=dict)
+    is_calling: bool = False
+    next_listing_at: float = float("-inf")
+
+
 @attrs.define
 class MetricsState:
     """What was reported last, so that counters go out as increases."""
@@ -78,6 +87,7 @@
     leases: dict[str, LeaseState] = attrs.field(factory=dict)
     orders: dict[str, OrderState] = attrs.field(factory=dict)
     purchases: dict[str, PurchaseState] = attrs.field(factory=dict)
+    housekeeping: HousekeepingState = attrs.field(factory=HousekeepingState)
     sealing: SealingState = attrs.field(factory=SealingState)
     drain: DrainState = attrs.field(factory=DrainState)
     counters: Counter[str] = attrs.field(factory=Counter)
--- a/packages/geraniumhall-daemon/tests/session.py
+++ b/packages/geraniumhall-daemon/tests/session.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 import trio.testing
+from trio._core import _run as scheduler
 
 from geraniumhall_bench.standins import StandInState
 from geraniumhall_bench.standins.model import FaultPlan
@@ -30,6 +31,7 @@
 WALL_TIME_START = 1_700_000_000.0
 BUCKET_FILL_SECONDS = 0.7
 TOKEN_SECONDS = 0.01
+SCHEDULER_SEED = 20261204
 KEY_RECORD = KeyRecord.from_secret("audit", "salt", SECRET)
 
 SETTINGS = f"""
@@ -201,7 +203,13 @@
 def run_session(
     test: Callable[[Session], Awaitable[None]], settings: str = SETTINGS
 ) -> Session:
-    """Run a test with a daemon; virtual time jumps when all wait."""
+    """Run a test with a daemon; virtual time jumps when all wait.
+
+    Tasks that are ready at one moment run in an order fixed by the seed, by
+    the switch that trio has for property tests.
+    """
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._r.seed(SCHEDULER_SEED)
 
     async def run() -> Session:
         async with open_session(settings) as session:
