Finish handing over before a planned stop ends the process

Cause: reading the drain: the writes that free leases and remove the host's record were started and the process ended in the same tick, so that they were cut off unless counts were being written.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -89,7 +89,8 @@
 def note_given_up(
     state: DaemonState, event: PlatformAnswered, purpose: GiveUpLease
 ) -> Iterator[Effect]:
-    """Take no notice; a lease that stays runs out by itself."""
+    """Go on with the planned stop; a lease that stays runs out by itself."""
+    state.drain.pending_calls -= 1
     yield from ()
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -81,15 +81,21 @@
         yield StopListening()
     if not drain.is_handing_over and not state.requests:
         drain.is_handing_over = True
-        yield from give_up_leases(state, now)
-        yield from flush_usage(state, now, inf)
-        yield from unregister_host(state)
-    if drain.is_handing_over and not _is_flushing(state):
+        yield from _hand_over(state, now)
+    if drain.is_handing_over and not drain.pending_calls and not _is_flushing(state):
         drain.ended = True
         yield WriteLog(level="info", event="drain_finished")
         yield EndProcess()
 
 
+def _hand_over(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Write the last counts, and give up leases and registration."""
+    yield from flush_usage(state, now, inf)
+    calls = [*give_up_leases(state, now), *unregister_host(state)]
+    state.drain.pending_calls = len(calls)
+    yield from calls
+
+
 def _is_flushing(state: DaemonState) -> bool:
     """Tell whether counts are still on their way to the platform."""
     windows = state.usage.windows.values()
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/membership.py
@@ -101,7 +101,8 @@
 def note_unregistered(
     state: DaemonState, event: PlatformAnswered, purpose: UnregisterHost
 ) -> Iterator[Effect]:
-    """Take no notice; a record that stays is removed by operators."""
+    """Go on with the planned stop; a record that stays is removed later."""
+    state.drain.pending_calls -= 1
     yield from ()
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -20,11 +20,15 @@
 
 @attrs.define
 class DrainState:
-    """The planned stop; times are in seconds on the host's clock."""
+    """The planned stop; times are in seconds on the host's clock.
+
+    `pending_calls` are those to the platform that hand over authority.
+    """
 
     requested_at: float | None = None
     stopped_listening: bool = False
     is_handing_over: bool = False
+    pending_calls: int = 0
     ended: bool = False
 
 
