--- a/packages/geraniumhall-core/src/geraniumhall_core/peering.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peering.py
@@ -141,12 +141,6 @@
             current.member = member
         return is_news
 
-    def forget(self, host: str, incarnation: int) -> None:
-        """Drop a member that the platform says is gone."""
-        current = self.known.get(host)
-        if current is not None and current.member.incarnation <= incarnation:
-            del self.known[host]
-
     def list_reports(self, now: float) -> list[MemberReport]:
         """Return members with their ages at `now`, a bounded number in turn."""
         known = list(self.known.values())
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/orders.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/orders.py
@@ -1,7 +1,5 @@
 """Sends orders to backend servers over HTTP."""
 
-from json import dumps
-
 from geraniumhall_core.effects import SendOrder
 from geraniumhall_core.events import OrderAnswered
 from geraniumhall_core.orders import OrderOutcome
@@ -9,12 +7,11 @@
 from geraniumhall_net.client import (
     ConnectFailedError,
     ExchangeFailedError,
+    build_json_request,
     request_whole,
 )
-from geraniumhall_wire.caller import UpstreamRequest
 
-ORDER_TARGET = b"/orders"
-JSON_HEADERS = ((b"content-type", b"application/json"),)
+ORDER_TARGET = "/orders"
 OUTCOMES_BY_STATUS = {200: OrderOutcome.ACCEPTED, 409: OrderOutcome.REJECTED}
 
 
@@ -38,7 +35,7 @@
         "role": effect.intent.role.value,
         "fencing_token": effect.intent.fencing_token,
     }
-    request = UpstreamRequest(b"POST", ORDER_TARGET, JSON_HEADERS, dumps(data).encode())
+    request = build_json_request("POST", ORDER_TARGET, data)
     try:
         response = await request_whole(
             daemon.pool, effect.address, request, effect.timeout, reuse=False
