Share rates by demand that every host must know of

A host counted its own demand at once and the others' a second or two late, so when all hosts' demand rose together their parts summed to far more than one.

Change: an increase of a host's own demand counts once every host that still serves keys has read it; a decrease counts at once. A restarted process goes on from the demand that its host had published. Demand is averaged over 8 s.

Ruled out: restarts (buckets start empty) and the overdraft alone (its total is below the tolerance).

--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -69,6 +69,7 @@
 
     `wall_time` is in seconds since the epoch. The token counts are those that
     the backend server reported, or what was passed on if it reported none.
+    `longest_pause` is in seconds, between parts of the answer.
     """
 
     request_id: str
@@ -77,6 +78,7 @@
     verdict: Verdict
     wall_time: float
     draws: tuple[float, float]
+    longest_pause: float = 0.0
     prompt_tokens: int = 0
     generated_tokens: int = 0
     reason: str = ""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -95,7 +95,8 @@
         _count_tokens(state, record, event)
         yield from _release_memory(record, event.verdict)
         end_request(state, record)
-        yield _log_progress("request_completed", record, event.at)
+        pause = LogField("longest_pause", round(event.longest_pause, 3))
+        yield _log_progress("request_completed", record, event.at, pause)
         yield CloseExchange(request_id=event.request_id)
     elif _may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
@@ -355,7 +356,9 @@
     )
 
 
-def _log_progress(event: str, record: RequestRecord, now: float) -> WriteLog:
+def _log_progress(
+    event: str, record: RequestRecord, now: float, *more: LogField
+) -> WriteLog:
     return WriteLog(
         level="info",
         event=event,
@@ -363,6 +366,7 @@
             LogField("request", record.request.request_id),
             LogField("server", record.server),
             LogField("seconds", round(now - record.arrived_at, 4)),
+            *more,
         ),
     )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -68,7 +68,7 @@
         yield _log_feed("info", "feed_recovered", purpose.feed)
     feed.confirmed_at = max(feed.confirmed_at, event.asked_at)
     if feed.revision == 0 and purpose.feed is Feed.RECORDS:
-        inherit_record(state, answer)
+        inherit_record(state, answer, event.at)
     feed.revision = max(feed.revision, answer.revision)
     yield from _apply_answer(state, purpose.feed, answer, event.at)
     if not state.has_buckets:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
@@ -102,8 +102,8 @@
 def _compute_share(
     state: DaemonState, name: str, workspace: Workspace, now: float
 ) -> Share:
-    meter = state.demand.get(name)
-    own = meter.read(now) if meter else 0.0
+    known_after = state.policy.stale_after
+    own = state.publishing.demand.find_known(name, now, known_after)
     told = state.foreign_demand.get(name, [])
     silent = [0.0] * max(0, state.live_hosts - 1 - len(told))
     fraction = compute_fraction(own, [*told, *silent])
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -6,6 +6,7 @@
 from geraniumhall_core.events import PlatformAnswered
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.hosts import Demand, HostRecord
+from geraniumhall_core.limits import DemandMeter
 from geraniumhall_core.platform import Changes, Conflict, Listing, PutObject, Written
 from geraniumhall_core.purposes import PublishHost
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
@@ -42,7 +43,10 @@
     publishing.is_calling = True
     publishing.next_call_at = now + publishing_interval(state)
     publishing.sequence += 1
-    record = _describe_self(state, now, wall_time)
+    publishing.sent_rates = {
+        name: round(meter.read(now), 3) for name, meter in state.demand.items()
+    }
+    record = _describe_self(state, wall_time)
     message = PutObject(_name_own(state), record, publishing.version)
     return CallPlatform(purpose=PublishHost(publishing.sequence), message=message)
 
@@ -61,6 +65,8 @@
         state.drain.pending_calls -= 1
     if isinstance(event.answer, Written):
         publishing.version = event.answer.version
+        known_after = state.policy.stale_after
+        publishing.demand.add(publishing.sent_rates, event.at, known_after)
     elif isinstance(event.answer, Conflict):
         current = event.answer.current
         publishing.version = current.version if current else 0
@@ -68,14 +74,22 @@
     yield from ()
 
 
-def inherit_record(state: DaemonState, answer: Listing | Changes) -> None:
-    """Go on from the record of an earlier process of this host, if any."""
+def inherit_record(state: DaemonState, answer: Listing | Changes, now: float) -> None:
+    """Go on from the record of an earlier process of this host, if any.
+
+    The other hosts have left it the demand that the record tells.
+    """
     objects = answer.objects if isinstance(answer, Listing) else answer.changes
     own = _name_own(state)
     for item in objects:
         if item.key == own and item.record is not DELETED:
             state.publishing.version = item.version
             state.usage.inherit(item.record.usage)
+            rates = {d.workspace: d.rate for d in item.record.demands}
+            known_after = state.policy.stale_after
+            state.publishing.demand.add(rates, now - known_after, known_after)
+            for name, rate in rates.items():
+                state.demand[name] = DemandMeter(rate, now)
 
 
 def observe_hosts(
@@ -108,10 +122,8 @@
             rates.append(demand.rate)
 
 
-def _describe_self(state: DaemonState, now: float, wall_time: float) -> HostRecord:
-    demands = [
-        Demand(name, round(meter.read(now), 3)) for name, meter in state.demand.items()
-    ]
+def _describe_self(state: DaemonState, wall_time: float) -> HostRecord:
+    rates = state.publishing.sent_rates
     return HostRecord(
         failure_domain=state.policy.failure_domain,
         incarnation=state.policy.incarnation,
@@ -119,7 +131,11 @@
         published_at=round(wall_time, 3),
         report_address=state.policy.report_address,
         is_leaving=state.is_draining,
-        demands=tuple(d for d in demands if d.rate > MIN_PUBLISHED_DEMAND),
+        demands=tuple(
+            Demand(name, rate)
+            for name, rate in rates.items()
+            if rate > MIN_PUBLISHED_DEMAND
+        ),
         usage=state.usage.list_windows(),
     )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/limits.py
@@ -1,13 +1,14 @@
 """Rate limits: a token bucket for each workspace on each host.
 
 A workspace's rate and burst hold over all hosts together. Each host takes the
-part of them that its callers' demand has in the demand on all live hosts, so
-that the parts sum to one as far as the hosts' views agree.
+part of them that its callers' demand has in the demand on all live hosts. It
+counts an increase of its own demand only when all others must know of it, so
+that the parts never sum to much more than one while demand shifts.
 """
 
 import attrs
 
-DEMAND_SECONDS = 2.0
+DEMAND_SECONDS = 8.0
 MIN_DEMAND_FRACTION = 0.25
 
 
@@ -98,6 +99,44 @@
         return self.rate * 0.5 ** (age / DEMAND_SECONDS)
 
 
+@attrs.frozen
+class PublishedDemand:
+    """What a host had told the others of its callers' demand, since `since`."""
+
+    since: float
+    rates: dict[str, float]
+
+
+@attrs.define
+class DemandHistory:
+    """What this host told the others lately, oldest first."""
+
+    entries: list[PublishedDemand] = attrs.field(factory=list)
+
+    def add(self, rates: dict[str, float], now: float, known_after: float) -> None:
+        """Note that the others can read these rates from now on.
+
+        Entries that were replaced more than `known_after` seconds ago say
+        nothing any more.
+        """
+        self.entries.append(PublishedDemand(now, rates))
+        while len(self.entries) > 1 and self.entries[1].since <= now - known_after:
+            del self.entries[0]
+
+    def find_known(self, workspace: str, now: float, known_after: float) -> float:
+        """Return the demand that every host takes into account by now.
+
+        A host that has not read what was published `known_after` seconds ago
+        serves no keys, so a higher demand counts from then on; a lower one
+        counts at once.
+        """
+        if not self.entries or self.entries[0].since > now - known_after:
+            return 0.0
+        recent = [e for e in self.entries[1:] if e.since > now - known_after]
+        older = [e for e in self.entries if e.since <= now - known_after][-1:]
+        return min(entry.rates.get(workspace, 0.0) for entry in [*older, *recent])
+
+
 def compute_fraction(own: float, others: list[float]) -> float:
     """Return a host's part of a limit, by its demand among all live hosts.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -9,7 +9,7 @@
 from geraniumhall_core.fleet import NO_FOREIGN_WORK, ForeignWork, ServerLoad
 from geraniumhall_core.hosts import HostsView
 from geraniumhall_core.leases import LeaseState
-from geraniumhall_core.limits import DemandMeter, TokenBucket
+from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
 from geraniumhall_core.orders import OrderState
 from geraniumhall_core.platform import Feed
 from geraniumhall_core.policy import Policy
@@ -50,8 +50,14 @@
 
 @attrs.define
 class PublishingState:
-    """How this daemon tells the others of itself, and when it does so next."""
+    """How this daemon tells the others of itself, and when it does so next.
 
+    `demand` is what it has told of its callers' demand, `sent_rates` what the
+    write under way tells.
+    """
+
+    demand: DemandHistory = attrs.field(factory=DemandHistory)
+    sent_rates: dict[str, float] = attrs.field(factory=dict)
     version: int = 0
     sequence: int = 0
     is_calling: bool = False
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -68,6 +68,8 @@
     deadline: float = 0.0
     next_extension: float = 0.0
     scope: trio.CancelScope | None = None
+    part_at: float = 0.0
+    longest_pause: float = 0.0
 
     async def run(self) -> AttemptResult:
         """Make the attempt and return how it ended."""
@@ -153,7 +155,9 @@
         await connection.start_response(
             head.status, headers, first or b"", self.exchange.must_close
         )
+        self.part_at = trio.current_time()
         while (chunk := await self._read_chunk()) is not None:
+            self._note_part()
             await connection.send_chunk(chunk)
         if self._scan().is_whole:
             await connection.finish_response()
@@ -208,6 +212,11 @@
         self.scope.deadline = min(self.deadline, now + limit)
         self.next_extension = now + SILENCE_STEP_SECONDS
 
+    def _note_part(self) -> None:
+        now = trio.current_time()
+        self.longest_pause = max(self.longest_pause, now - self.part_at)
+        self.part_at = now
+
     def _dispatch_started(self) -> None:
         self.daemon.dispatch(
             ResponseStarted(
@@ -250,7 +259,8 @@
 ) -> None:
     """Make one attempt and report how it ended."""
     exchange.must_close = exchange.must_close or daemon.state.is_draining
-    result = await Relay(daemon, exchange, effect).run()
+    relay = Relay(daemon, exchange, effect)
+    result = await relay.run()
     daemon.dispatch(
         AttemptEnded(
             at=daemon.read_now(),
@@ -260,6 +270,7 @@
             verdict=result.verdict,
             wall_time=daemon.clock.read_wall_time(),
             draws=daemon.draw(),
+            longest_pause=relay.longest_pause,
             prompt_tokens=result.scan.prompt_tokens,
             generated_tokens=result.scan.generated_tokens,
             reason=result.reason,
