Test planning, load reports, scaling and shared rates; price attention in plans

Cause: the new decisions had no tests of their own; one of them showed that the effort of long prompts, meant to grow faster than their length, did not.

--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -184,5 +184,11 @@
 
 
 def _count_unread(engine: EngineView, home: EngineView | None, query: PlanQuery) -> int:
+    """Return the effort of reading a prompt there, as tokens of a short one.
+
+    Attention makes each token cost more by the length of what precedes it.
+    """
     cached = query.shared_tokens if engine is home else 0
-    return query.prompt_tokens - cached
+    unread = query.prompt_tokens - cached
+    preceding = query.prompt_tokens - unread / 2
+    return int(unread * (1 + preceding / ATTENTION_TOKENS))
--- a/packages/geraniumhall-core/tests/test_limits.py
+++ b/packages/geraniumhall-core/tests/test_limits.py
@@ -5,7 +5,14 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from geraniumhall_core.limits import DemandMeter, Share, TokenBucket, compute_fraction
+from geraniumhall_core.limits import (
+    DEMAND_SECONDS,
+    DemandHistory,
+    DemandMeter,
+    Share,
+    TokenBucket,
+    compute_fraction,
+)
 
 
 class TokenBucketTest(unittest.TestCase):
@@ -111,4 +118,41 @@
         """Demand halves within the meter's time."""
         meter = DemandMeter()
         meter.add(100.0, 0.0)
-        self.assertAlmostEqual(meter.read(2.0), meter.read(0.0) / 2)
+        self.assertAlmostEqual(meter.read(DEMAND_SECONDS), meter.read(0.0) / 2)
+
+
+class DemandHistoryTest(unittest.TestCase):
+    """An increase counts when all hosts must know of it."""
+
+    def build(self, *rates: float) -> DemandHistory:
+        """Return a history with one rate published each second."""
+        history = DemandHistory()
+        for second, rate in enumerate(rates):
+            history.add({"audit": rate}, float(second), known_after=3.0)
+        return history
+
+    def test_nothing_published_counts_nothing(self) -> None:
+        """A host that told nothing has only the floor."""
+        self.assertEqual(DemandHistory().find_known("audit", 9.0, 3.0), 0.0)
+
+    def test_increase_counts_late(self) -> None:
+        """A higher demand counts three seconds after it was told."""
+        history = self.build(10.0, 10.0, 10.0, 10.0, 90.0)
+        self.assertEqual(history.find_known("audit", 6.9, 3.0), 10.0)
+        self.assertEqual(history.find_known("audit", 7.1, 3.0), 90.0)
+
+    def test_decrease_counts_at_once(self) -> None:
+        """A lower demand leaves the others their part at once."""
+        history = self.build(90.0, 90.0, 90.0, 90.0, 10.0)
+        self.assertEqual(history.find_known("audit", 4.0, 3.0), 10.0)
+
+    @seed(20261204)
+    @given(st.lists(st.floats(0.0, 100.0), min_size=1, max_size=12))
+    def test_never_more_than_any_reader_may_know(self, rates: list[float]) -> None:
+        """What counts is at most what a reader up to three seconds late has."""
+        history = self.build(*rates)
+        now = float(len(rates) - 1)
+        counted = history.find_known("audit", now, 3.0)
+        for late in range(4):
+            if now - late >= 0:
+                self.assertLessEqual(counted, rates[int(now - late)])
--- /dev/null
+++ b/packages/geraniumhall-core/tests/test_reports.py
@@ -0,0 +1,104 @@
+"""Tests of load reports between hosts."""
+
+import unittest
+
+from builders import build_arrival, build_state, find_effect, follow, reduce
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from geraniumhall_core.effects import SendReport
+from geraniumhall_core.events import ReportReceived, Ticked
+from geraniumhall_core.fleet import ForeignWork
+from geraniumhall_core.hosts import HostRecord
+from geraniumhall_core.platform import Changes, Feed
+from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.reports import LoadReport, ReportsView, ServerWork
+from geraniumhall_core.state import DaemonState
+
+
+def build_report(sequence: int, requests: int, host: str = "h2") -> LoadReport:
+    """Return a report of work at one server."""
+    work = (ServerWork("e1", requests, 100 * requests),)
+    return LoadReport(host=host, incarnation=1, sequence=sequence, work=work)
+
+
+def build_peered_state() -> DaemonState:
+    """Return a state that knows another host with a listener."""
+    state = build_state(policy={"report_address": "10.0.0.1:7000"})
+    record = HostRecord(
+        failure_domain="b", incarnation=1, sequence=1, report_address="10.0.0.2:7000"
+    )
+    change = VersionedRecord(ObjectKey("host", "h2"), 101, record)
+    follow(state, Feed.RECORDS, Changes(101, (change,)))
+    return state
+
+
+class ViewTest(unittest.TestCase):
+    """The newest report of each host counts."""
+
+    def test_reports_are_added_up(self) -> None:
+        """Work of several hosts at one server is summed."""
+        view = ReportsView()
+        view.take(build_report(1, 2, "h2"), 0.0)
+        view.take(build_report(1, 3, "h3"), 0.0)
+        self.assertEqual(view.totals, {"e1": ForeignWork(5, 500)})
+
+    @seed(20261204)
+    @given(st.permutations(range(1, 7)), st.lists(st.integers(1, 6)))
+    def test_order_and_repetition_do_not_matter(
+        self, order: list[int], repeats: list[int]
+    ) -> None:
+        """However datagrams arrive, the newest one stands."""
+        view = ReportsView()
+        for sequence in [*order, *repeats]:
+            view.take(build_report(sequence, sequence), 0.0)
+        self.assertEqual(view.totals, {"e1": ForeignWork(6, 600)})
+
+    def test_silent_host_is_forgotten(self) -> None:
+        """Work of a host that says nothing any more does not stay."""
+        view = ReportsView()
+        view.take(build_report(1, 2), 1.0)
+        view.expire(2.0)
+        self.assertEqual((view.heard, view.totals), ({}, {}))
+
+    def test_idle_host_leaves_no_total(self) -> None:
+        """A server without work has no entry."""
+        view = ReportsView()
+        view.take(build_report(1, 2), 1.0)
+        view.take(LoadReport(host="h2", incarnation=1, sequence=2), 1.0)
+        self.assertEqual(view.totals, {})
+
+
+class SendTest(unittest.TestCase):
+    """A host tells the others when its work changes."""
+
+    def test_new_work_is_told(self) -> None:
+        """A request that is sent to a server is reported at once."""
+        effects = reduce(build_peered_state(), build_arrival())
+        effect = find_effect(effects, SendReport)
+        self.assertEqual(effect.addresses, ("10.0.0.2:7000",))
+        self.assertEqual([w.requests for w in effect.report.work], [1])
+
+    def test_reports_are_paced(self) -> None:
+        """Changes in quick succession share a report."""
+        state = build_peered_state()
+        reduce(state, build_arrival("r1"))
+        effects = reduce(state, build_arrival("r2", at=2.001))
+        self.assertFalse([e for e in effects if isinstance(e, SendReport)])
+        ticked = reduce(state, Ticked(at=2.1, wall_time=2.1, draws=(0.0, 0.0)))
+        report = find_effect(ticked, SendReport).report
+        self.assertEqual(sum(w.requests for w in report.work), 2)
+
+    def test_own_report_is_no_foreign_work(self) -> None:
+        """A report that came back is not counted."""
+        state = build_peered_state()
+        event = ReportReceived(at=2.0, report=build_report(1, 5, "h1"))
+        reduce(state, event)
+        self.assertEqual(state.find_foreign_work("e1"), ForeignWork())
+
+    def test_unheard_hosts_are_estimated(self) -> None:
+        """Hosts that did not report are taken to do as much as those that did."""
+        state = build_peered_state()
+        state.live_hosts = 5
+        reduce(state, ReportReceived(at=2.0, report=build_report(1, 2)))
+        self.assertEqual(state.find_foreign_work("e1"), ForeignWork(8, 800))
--- /dev/null
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -0,0 +1,124 @@
+"""Tests of the numbers of servers that are ordered."""
+
+import unittest
+
+import attrs
+from builders import build_answer, build_state, reduce
+
+from geraniumhall_core.catalogue import (
+    BackendServer,
+    Configuration,
+    ScaleBounds,
+    Service,
+)
+from geraniumhall_core.effects import CallPlatform
+from geraniumhall_core.events import Ticked
+from geraniumhall_core.leases import Lease
+from geraniumhall_core.platform import (
+    Changes,
+    DutyAccepted,
+    DutyFenced,
+    DutyRejected,
+    Feed,
+    ScaleService,
+)
+from geraniumhall_core.purposes import FollowFeed, ScaleDomain
+from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.scaling import DomainState, DomainTarget, prefer_reclaimable
+from geraniumhall_core.state import DaemonState
+
+BOUNDS = ScaleBounds(
+    minimum=1, maximum=6, boot_seconds=4.0, reclaimable_price=0.2, prices={"a": 1.0}
+)
+
+
+def tick(state: DaemonState, at: float) -> list[CallPlatform]:
+    """Let time pass; return the orders that are sent."""
+    effects = reduce(state, Ticked(at=at, wall_time=at, draws=(0.0, 0.0)))
+    calls = [e for e in effects if isinstance(e, CallPlatform)]
+    return [call for call in calls if isinstance(call.message, ScaleService)]
+
+
+class PolicyTest(unittest.TestCase):
+    """Reclaimable servers take the place of regular ones."""
+
+    def test_targets(self) -> None:
+        """No regular server goes before another one serves in its place."""
+        cases = {
+            (3, 0): DomainTarget(regular=3, reclaimable=3),
+            (3, 2): DomainTarget(regular=1, reclaimable=5),
+            (3, 1): DomainTarget(regular=2, reclaimable=4),
+            (1, 5): DomainTarget(regular=1, reclaimable=5),
+            (1, 0): DomainTarget(regular=1, reclaimable=5),
+        }
+        for (regular, reclaimable), expected in cases.items():
+            domain = DomainState(regular=regular, reclaimable=reclaimable)
+            with self.subTest(domain=domain):
+                self.assertEqual(prefer_reclaimable(BOUNDS, domain), expected)
+
+    def test_without_reclaimable_servers_nothing_is_ordered(self) -> None:
+        """Where there are none to be had, all stays as it is."""
+        bounds = attrs.evolve(BOUNDS, reclaimable_price=None)
+        domain = DomainState(regular=3, reclaimable=0)
+        self.assertIsNone(prefer_reclaimable(bounds, domain))
+
+
+class OrderTest(unittest.TestCase):
+    """The holder of the lease orders, and nobody else."""
+
+    def build(self, is_holder: bool = True) -> DaemonState:
+        """Return a state with a service that has three servers."""
+        state = build_state(policy={"scaling": "reclaimable_first"})
+        key = ObjectKey("configuration", "main")
+        configuration = Configuration(
+            version=1, services={"llm": Service(scale=BOUNDS)}
+        )
+        changes = [VersionedRecord(key, 101, configuration)]
+        purpose = FollowFeed(Feed.CONFIGURATION)
+        reduce(state, build_answer(purpose, Changes(101, tuple(changes))))
+        server = BackendServer(address="10.0.0.9:80", failure_domain="a", service="llm")
+        servers = tuple(
+            VersionedRecord(ObjectKey("registered_server", f"s{n}"), 110 + n, server)
+            for n in range(3)
+        )
+        reduce(state, build_answer(FollowFeed(Feed.SERVERS), Changes(120, servers)))
+        if is_holder:
+            lease = Lease(host="h1", incarnation=1, term=4, renewal=0)
+            state.lease.written_at[0] = 2.0
+            state.lease.hold(5, lease, 9.0)
+        return state
+
+    def test_holder_orders_under_its_term(self) -> None:
+        """Both kinds are ordered with the fencing token."""
+        calls = tick(self.build(), 2.1)
+        found = {(c.message.reclaimable, c.message.count) for c in calls}
+        self.assertEqual(found, {(True, 3), (False, 3)})
+        self.assertEqual({c.message.fencing_token for c in calls}, {4})
+
+    def test_others_order_nothing(self) -> None:
+        """Without the lease there is no authority."""
+        self.assertEqual(tick(self.build(is_holder=False), 2.1), [])
+
+    def answer(self, answer: object) -> DaemonState:
+        """Return the state after each order got this answer."""
+        state = self.build()
+        for call in tick(state, 2.1):
+            assert isinstance(call.purpose, ScaleDomain)
+            reduce(state, build_answer(call.purpose, answer, at=2.2))
+        return state
+
+    def test_order_that_was_taken_is_not_repeated(self) -> None:
+        """The same number is not ordered again for a while."""
+        state = self.answer(DutyAccepted())
+        self.assertEqual(tick(state, 5.0), [])
+
+    def test_order_that_was_refused_is_tried_again(self) -> None:
+        """Servers that can't be had now are asked for again."""
+        state = self.answer(DutyRejected("none available"))
+        self.assertEqual(tick(state, 3.0), [])
+        self.assertEqual(len(tick(state, 4.5)), 2)
+
+    def test_fenced_holder_orders_no_more(self) -> None:
+        """A higher token means that another host is in charge."""
+        state = self.answer(DutyFenced())
+        self.assertEqual(tick(state, 4.5), [])
