--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -28,6 +28,7 @@
 HANDOVER_SECONDS = 0.020
 RUNNING_REQUEST_SECONDS = 0.0005
 BUSY_SLOTS_SECONDS = 0.5
+DISTURBANCE_FACTOR = 0.05
 ATTENTION_TOKENS = 74_000
 
 
@@ -85,7 +86,11 @@
 
 @PLANNING_POLICIES.register("direct")
 def plan_directly(engines: Sequence[EngineView], query: PlanQuery) -> Plan | None:
-    """Never read ahead: take the generating engine that is free first."""
+    """Never read ahead: take the generating engine that is free first.
+
+    Reading a prompt there slows the streams that it generates, so each of
+    them makes reading count for more.
+    """
     return _plan_direct(engines, query)[1]
 
 
@@ -157,6 +162,7 @@
     def estimate(engine: EngineView) -> float:
         unread = _count_unread(engine, home, query)
         reading = (engine.waiting_tokens + unread) / rate
+        reading += unread / rate * engine.requests * DISTURBANCE_FACTOR
         distance = 0.0 if engine.is_local else CROSS_DOMAIN_SECONDS
         return reading + _estimate_busy(engine) + distance
 
