Reload changed settings, survive SIGHUP, and bound what is logged

Cause: SIGHUP ended the process, since nothing handled it, and the platform's settings may change with or without it; a flood of lines or a reader that stops could hold the process up. Change: the file is read again on SIGHUP and every 2 s, a faulty one is logged and changes nothing; lines are limited to 400 a second (1,200 at once), written without blocking, and those left out are counted and told. Tests: reloads and floods.

--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -9,6 +9,7 @@
 from geraniumhall_core.admin import AdminCommand
 from geraniumhall_core.orders import OrderIntent, OrderOutcome
 from geraniumhall_core.platform import Answer
+from geraniumhall_core.policy import Policy
 from geraniumhall_core.purposes import Purpose
 from geraniumhall_core.reducer import Event
 from geraniumhall_core.reports import LoadReport
@@ -128,6 +129,13 @@
     """A planned stop was asked for, by signal or by an operator."""
 
 
+@attrs.frozen(kw_only=True)
+class SettingsChanged(Event):
+    """The settings were read again and are valid."""
+
+    policy: Policy
+
+
 @attrs.frozen(kw_only=True)
 class DumpRequested(Event):
     """A state dump was asked for by signal."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -11,7 +11,12 @@
     WriteDump,
     WriteLog,
 )
-from geraniumhall_core.events import DrainRequested, DumpRequested, Ticked
+from geraniumhall_core.events import (
+    DrainRequested,
+    DumpRequested,
+    SettingsChanged,
+    Ticked,
+)
 from geraniumhall_core.handlers.attempts import expire_waiting
 from geraniumhall_core.handlers.feeds import expire_lapsed
 from geraniumhall_core.handlers.leases import give_up_lease, tend_lease
@@ -49,6 +54,14 @@
     yield from begin_drain(state, event.at)
 
 
+@REDUCER.handles(SettingsChanged)
+def change_settings(state: DaemonState, event: SettingsChanged) -> Iterator[Effect]:
+    """Decide by the new policy from now on; requests under way go on."""
+    state.policy = event.policy
+    state.usage.window_seconds = event.policy.usage_window
+    yield WriteLog(level="info", event="settings_changed")
+
+
 @REDUCER.handles(DumpRequested)
 def request_dump(state: DaemonState, event: DumpRequested) -> Iterator[Effect]:
     """Write the state to the log."""
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from geraniumhall_core.events import DaemonStarted, Ticked
+from geraniumhall_core.events import DaemonStarted, SettingsChanged, Ticked
 from geraniumhall_core.handlers import REDUCER
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.reducer import Effect, Event
@@ -73,6 +73,7 @@
     """One daemon process on a trio loop."""
 
     settings: Settings
+    connector: Connector
     state: DaemonState
     clock: Clock
     random: Random
@@ -113,18 +114,25 @@
         )
         return cls(
             settings=settings,
+            connector=connector,
             state=DaemonState.from_policy(policy),
             clock=clock,
             random=random,
-            platform=PLATFORM_DRIVERS.find(settings.platform.driver)(
-                settings, connector
-            ),
+            platform=_build_driver(settings, connector),
             front=FRONTS.find(settings.callers.front)(),
             pool=pool,
             metrics=MetricsSink.from_settings(settings.metrics),
             recorder=recorder or RecentHistory(),
         )
 
+    def change_settings(self, settings: Settings) -> None:
+        """Go on with new settings; what is listened on stays as it was."""
+        if settings.platform != self.settings.platform:
+            self.platform = _build_driver(settings, self.connector)
+        self.settings = settings
+        policy = settings.build_policy(self.state.policy.incarnation)
+        self.dispatch(SettingsChanged(at=self.read_now(), policy=policy))
+
     def dispatch(self, event: Event) -> None:
         """Reduce an event and perform its effects, in the order of arrival."""
         self._pending.append(event)
@@ -193,6 +201,10 @@
             performer.function(self, effect)
 
 
+def _build_driver(settings: Settings, connector: Connector) -> PlatformDriver:
+    return PLATFORM_DRIVERS.find(settings.platform.driver)(settings, connector)
+
+
 def _choose_incarnation(clock: Clock, random: Random) -> int:
     """Return a number that is greater than that of any earlier process."""
     milliseconds = int(clock.read_wall_time() * MILLISECONDS)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/logs.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/logs.py
@@ -1,17 +1,111 @@
-"""Structured logs: one JSON object a line on standard output."""
+"""Structured logs: one JSON object a line on standard output.
 
+The volume is bounded, and writing never blocks: lines beyond the bound, or
+that the reader of the output does not take in time, are left out, counted and
+told later in one line.
+"""
+
+import fcntl
+import os
+import stat
 import sys
+import time
+from collections import deque
+from collections.abc import Callable
 from json import dumps
 from typing import Any
 
+import attrs
 from loguru import logger
 
+LINES_PER_SECOND = 400
+BURST_LINES = 1200
+MAX_BUFFERED_BYTES = 1 << 20
+
+
+@attrs.define(eq=False)
+class LogOutput:
+    """A file descriptor that takes lines without ever blocking.
+
+    `read_now` is a clock in seconds. `dropped` counts the lines left out
+    since that was last told.
+    """
+
+    descriptor: int
+    read_now: Callable[[], float] = time.monotonic
+    dropped: int = 0
+    _allowance: float = BURST_LINES
+    _accrued_at: float = float("-inf")
+    _pending: deque[bytes] = attrs.field(factory=deque)
+    _pending_bytes: int = 0
+
+    @classmethod
+    def from_descriptor(cls, descriptor: int) -> "LogOutput":
+        """Return an output; a pipe is made not to block."""
+        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+            flags = fcntl.fcntl(descriptor, fcntl.F_GETFL)
+            fcntl.fcntl(descriptor, fcntl.F_SETFL, flags | os.O_NONBLOCK)
+        return cls(descriptor)
+
+    def write_line(self, line: dict[str, Any]) -> None:
+        """Write a line, or count it as left out."""
+        if not self._take_allowance():
+            self.dropped += 1
+            return
+        if self.dropped:
+            told = {**line, "level": "warning", "event": "log_lines_dropped"}
+            kept = {key: told[key] for key in ("time", "level", "event", "host")}
+            self._append({**kept, "lines": self.dropped})
+            self.dropped = 0
+        self._append(line)
+        self._flush()
+
+    def _append(self, line: dict[str, Any]) -> None:
+        data = dumps(line, default=str).encode() + b"\n"
+        if self._pending_bytes + len(data) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+
+    def _flush(self) -> None:
+        while self._pending:
+            data = self._pending.popleft()
+            try:
+                written = os.write(self.descriptor, data)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                # Nobody reads the output any more, so there is nowhere to tell.
+                self._pending.clear()
+                self._pending_bytes = 0
+                return
+            self._pending_bytes -= written
+            if written < len(data):
+                self._pending.appendleft(data[written:])
+                return
+
+    def _take_allowance(self) -> bool:
+        now = self.read_now()
+        earned = max(0.0, now - self._accrued_at) * LINES_PER_SECOND
+        self._allowance = min(BURST_LINES, self._allowance + earned)
+        self._accrued_at = now
+        if self._allowance < 1:
+            return False
+        self._allowance -= 1
+        return True
+
 
 def configure_logs(level: str, host: str) -> None:
     """Send log lines at or above `level` to standard output."""
+    output = LogOutput.from_descriptor(sys.stdout.fileno())
     logger.remove()
     logger.configure(extra={"host": host})
-    logger.add(_write_line, level=level.upper(), format="{message}")
+    logger.add(
+        lambda message: output.write_line(_build_line(message.record)),
+        level=level.upper(),
+        format="{message}",
+    )
 
 
 def write_log(level: str, event: str, fields: dict[str, Any]) -> None:
@@ -19,13 +113,13 @@
     logger.bind(**fields).log(level.upper(), event)
 
 
-def _write_line(message: Any) -> None:
-    record = message.record
+def _build_line(record: Any) -> dict[str, Any]:
     line = {
         "time": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name.lower(),
         "event": record["message"],
         **record["extra"],
     }
-    sys.stdout.write(dumps(line, default=str) + "\n")
-    sys.stdout.flush()
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    return line
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -15,6 +15,7 @@
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_daemon.logs import configure_logs, write_log
+from geraniumhall_daemon.reloads import SettingsFile
 from geraniumhall_daemon.reports import open_reports_socket, receive_reports
 from geraniumhall_daemon.serving import serve_status
 from geraniumhall_net.listener import Listener
@@ -24,6 +25,7 @@
 
 EXIT_SETTINGS = 1
 MAX_OPERATORS = 64
+SETTINGS_INTERVAL_SECONDS = 2.0
 
 SIGNAL_EVENTS: dict[int, Callable[..., Event]] = {
     signal.SIGTERM: DrainRequested,
@@ -60,10 +62,10 @@
         print(error, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     configure_logs(loaded.log.level, loaded.host.name)
-    trio.run(run_daemon, Daemon.from_settings(loaded))
+    trio.run(run_daemon, Daemon.from_settings(loaded), SettingsFile(settings))
 
 
-async def run_daemon(daemon: Daemon) -> None:
+async def run_daemon(daemon: Daemon, file: SettingsFile) -> None:
     """Serve callers and operators until a planned stop has ended."""
     try:
         listeners = await open_listeners(daemon)
@@ -76,7 +78,8 @@
     daemon.listeners.append(listeners["callers"])
     async with trio.open_nursery() as nursery:
         daemon.nursery = nursery
-        nursery.start_soon(watch_signals, daemon)
+        nursery.start_soon(watch_signals, daemon, file)
+        nursery.start_soon(watch_settings, daemon, file)
         if daemon.reports_socket is not None:
             nursery.start_soon(receive_reports, daemon)
         for listener in listeners.values():
@@ -112,8 +115,19 @@
     return listeners
 
 
-async def watch_signals(daemon: Daemon) -> None:
-    """Turn signals into events."""
-    with trio.open_signal_receiver(*SIGNAL_EVENTS) as signals:
+async def watch_signals(daemon: Daemon, file: SettingsFile) -> None:
+    """Turn signals into events; SIGHUP says that the settings have changed."""
+    with trio.open_signal_receiver(signal.SIGHUP, *SIGNAL_EVENTS) as signals:
         async for number in signals:
-            daemon.dispatch(SIGNAL_EVENTS[number](at=daemon.read_now()))
+            if number == signal.SIGHUP:
+                write_log("info", "reload_requested", {})
+                file.reload(daemon)
+            else:
+                daemon.dispatch(SIGNAL_EVENTS[number](at=daemon.read_now()))
+
+
+async def watch_settings(daemon: Daemon, file: SettingsFile) -> None:
+    """Read the settings again when their file has changed without a signal."""
+    while True:
+        await trio.sleep(SETTINGS_INTERVAL_SECONDS)
+        file.reload(daemon)
--- /dev/null
+++ b/packages/geraniumhall-daemon/tests/test_logs.py
@@ -0,0 +1,63 @@
+"""Tests of log lines: bounded, and never in the way."""
+
+import os
+import unittest
+from json import loads
+from typing import Any
+
+from geraniumhall_daemon.logs import BURST_LINES, MAX_BUFFERED_BYTES, LogOutput
+
+LINE = {"time": "t", "level": "info", "event": "request_placed", "host": "h1"}
+
+
+class FloodTest(unittest.TestCase):
+    """A process that logs too much loses lines, not time."""
+
+    def setUp(self) -> None:
+        """Log to a pipe on a clock that the test moves."""
+        self.reader, writer = os.pipe()
+        self.now = 0.0
+        self.output = LogOutput.from_descriptor(writer)
+        self.output.read_now = lambda: self.now
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+
+    def read_lines(self) -> list[dict[str, Any]]:
+        """Return the lines that have arrived."""
+        data = os.read(self.reader, 16 * MAX_BUFFERED_BYTES)
+        return [loads(line) for line in data.split(b"\n")[:-1]]
+
+    def test_lines_arrive_as_they_are(self) -> None:
+        """A line is one JSON object."""
+        self.output.write_line({**LINE, "request": "r1"})
+        self.assertEqual(self.read_lines(), [{**LINE, "request": "r1"}])
+
+    def test_flood_is_bounded_and_told(self) -> None:
+        """What is left out is counted in the next line that fits."""
+        lines = []
+        for _ in range(BURST_LINES + 500):
+            self.output.write_line(LINE)
+            if self.output.dropped == 0:
+                lines += self.read_lines()
+        self.now = 10.0
+        self.output.write_line(LINE)
+        lines += self.read_lines()
+        dropped = [n for n in lines if n["event"] == "log_lines_dropped"]
+        self.assertEqual([n["lines"] for n in dropped], [500])
+        self.assertEqual(len(lines), BURST_LINES + 2)
+
+    def test_reader_that_stops_blocks_nobody(self) -> None:
+        """Lines wait in bounded memory for a reader that is slow."""
+        wide = {**LINE, "reason": "x" * 4000}
+        for second in range(60):
+            self.now = 10.0 * second
+            for _ in range(30):
+                self.output.write_line(wide)
+        self.assertGreater(self.output.dropped, 0)
+
+    def test_closed_reader_is_no_fault(self) -> None:
+        """A process goes on when nobody reads its log."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        LogOutput.from_descriptor(writer).write_line(LINE)
+        os.close(writer)
--- /dev/null
+++ b/packages/geraniumhall-daemon/tests/test_reloads.py
@@ -0,0 +1,63 @@
+"""Tests of settings that change while the daemon runs."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from session import SETTINGS, Session, build_chat, run_session
+
+from geraniumhall_daemon.reloads import SettingsFile
+
+
+class ReloadTest(unittest.TestCase):
+    """Changed settings are in force for the next decision."""
+
+    def setUp(self) -> None:
+        """Write the settings of the session to a file."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "h1.yaml"
+        self.path.write_text(SETTINGS)
+        self.file = SettingsFile(str(self.path))
+
+    def reload(self, session: Session, text: str) -> None:
+        """Change the file and read it again."""
+        assert session.daemon is not None
+        self.file.reload(session.daemon)
+        self.path.write_text(text)
+        self.file.reload(session.daemon)
+
+    def test_new_policy_is_in_force(self) -> None:
+        """The reducer decides by the new settings, and requests go on."""
+
+        async def test(session: Session) -> None:
+            assert session.daemon is not None
+            self.reload(session, SETTINGS + "retries: {max_attempts: 7}\n")
+            self.assertEqual(session.daemon.state.policy.max_attempts, 7)
+            self.assertEqual((await session.call(build_chat()))[0].status, 200)
+
+        run_session(test)
+
+    def test_faulty_settings_change_nothing(self) -> None:
+        """A faulty file is logged, and the daemon goes on as before."""
+
+        async def test(session: Session) -> None:
+            assert session.daemon is not None
+            before = session.daemon.state.policy
+            self.reload(session, SETTINGS + "retries: {max_attempts: none}\n")
+            self.assertIs(session.daemon.state.policy, before)
+            self.assertEqual((await session.call(build_chat()))[0].status, 200)
+
+        run_session(test)
+
+    def test_missing_file_changes_nothing(self) -> None:
+        """A file that is gone for a moment is no reason to stop."""
+
+        async def test(session: Session) -> None:
+            assert session.daemon is not None
+            before = session.daemon.state.policy
+            self.path.unlink()
+            self.file.reload(session.daemon)
+            self.assertIs(session.daemon.state.policy, before)
+
+        run_session(test)
