Lend rate tokens between hosts, and call the store less

Change: a request over the share waits up to 50 ms while the peers are asked by datagrams; a lender gives at most half of what it has, and tokens leave it before they are sent. The list of servers is watched 3 s at a time, host records are written every 1.5 s, keys are trusted for 0.9 of the revocation bound.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/virtual/hosts.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/virtual/hosts.py
@@ -1,9 +1,9 @@
 """Several daemons' reducers in one process, on a virtual clock.
 
-The interfaces around the reducers are small fakes: the platform's model, load
-reports with a fixed latency, and backend servers that answer after a fixed
-time. A test or benchmark cuts, pauses, kills and restarts at will. There is
-no model of a network or of engines here.
+The interfaces around the reducers are small fakes: the platform's model,
+messages between hosts with a fixed latency, and backend servers that answer
+after a fixed time. A test or benchmark cuts, pauses, kills and restarts at
+will. There is no model of a network or of engines here.
 """
 
 from collections.abc import Callable
@@ -16,12 +16,12 @@
 
 from geraniumhall_bench.virtual.servers import VirtualServer
 from geraniumhall_core.admin import AdminAnswer, AdminCommand
-from geraniumhall_core.effects import RelayRequest, SendOrder, SendReport, WriteLog
+from geraniumhall_core.effects import RelayRequest, SendOrder, SendToPeers, WriteLog
 from geraniumhall_core.events import (
     AdminCalled,
     DaemonStarted,
     OrderAnswered,
-    ReportReceived,
+    PeerSent,
     RequestArrived,
     Ticked,
 )
@@ -93,7 +93,7 @@
 
     random: Random
     platform_latency: float = 0.003
-    report_latency: float = 0.0015
+    peer_latency: float = 0.0015
     service_seconds: float = 0.05
     now: float = 0.0
     platform: PlatformState = attrs.field(factory=PlatformState)
@@ -121,7 +121,7 @@
             host=host,
             failure_domain=failure_domain,
             incarnation=next(self._ids),
-            report_address=host,
+            peer_address=host,
             **policy,
         )
         daemon = VirtualDaemon(DaemonState.from_policy(fixed))
@@ -250,17 +250,17 @@
                 return True
         return False
 
-    def send_report(self, host: str, effect: SendReport) -> None:
-        """Carry a load report to the daemons that can be reached."""
+    def send_to_peers(self, host: str, effect: SendToPeers) -> None:
+        """Carry a message to the daemons that can be reached."""
         for address in effect.addresses:
             target = self.daemons.get(address)
             if target is not None and (host, address) not in self.cuts:
-                self._schedule(self.report_latency, self._deliver(target, effect))
+                self._schedule(self.peer_latency, self._deliver(target, effect))
 
-    def _deliver(self, target: VirtualDaemon, effect: SendReport) -> Callable:
-        report = effect.report
+    def _deliver(self, target: VirtualDaemon, effect: SendToPeers) -> Callable:
+        message = effect.message
         return lambda: self.send(
-            target, lambda at: ReportReceived(at=at, report=report)
+            target, lambda at: PeerSent(at=at, message=message, draws=self.draw())
         )
 
     def _schedule(self, delay: float, action: Callable[[], None]) -> None:
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/virtual/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/virtual/performers.py
@@ -21,7 +21,7 @@
     RefuseRequest,
     RelayRequest,
     SendOrder,
-    SendReport,
+    SendToPeers,
     StopListening,
     WriteDump,
     WriteLog,
@@ -60,11 +60,11 @@
     hosts.after(effect.delay, begin)
 
 
-@VIRTUAL_PERFORMERS.performs(SendReport)
-def send_report(place: Place, effect: SendReport) -> None:
-    """Carry a load report to other daemons."""
+@VIRTUAL_PERFORMERS.performs(SendToPeers)
+def send_to_peers(place: Place, effect: SendToPeers) -> None:
+    """Carry a message to other daemons."""
     hosts, daemon = place
-    hosts.send_report(daemon.state.policy.host, effect)
+    hosts.send_to_peers(daemon.state.policy.host, effect)
 
 
 @VIRTUAL_PERFORMERS.performs(RelayRequest)
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -4,11 +4,11 @@
 
 from geraniumhall_core.admin import AdminAnswer
 from geraniumhall_core.orders import OrderIntent
+from geraniumhall_core.peers import PeerMessage
 from geraniumhall_core.platform import Message
 from geraniumhall_core.purposes import Purpose
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import Refusal
-from geraniumhall_core.reports import LoadReport
 from geraniumhall_core.requests import PromptMemory
 
 
@@ -98,11 +98,11 @@
 
 
 @attrs.frozen(kw_only=True)
-class SendReport(Effect):
-    """Tell other hosts of this host's work; a report may be lost."""
+class SendToPeers(Effect):
+    """Send a message to other hosts; it may be lost on its way."""
 
     addresses: tuple[str, ...]
-    report: LoadReport
+    message: PeerMessage
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -8,11 +8,11 @@
 
 from geraniumhall_core.admin import AdminCommand
 from geraniumhall_core.orders import OrderIntent, OrderOutcome
+from geraniumhall_core.peers import PeerMessage
 from geraniumhall_core.platform import Answer
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.purposes import Purpose
 from geraniumhall_core.reducer import Event
-from geraniumhall_core.reports import LoadReport
 from geraniumhall_core.requests import AttemptOutcome, CallerRequest, PromptMemory
 from geraniumhall_core.verdict import Verdict
 
@@ -108,10 +108,11 @@
 
 
 @attrs.frozen(kw_only=True)
-class ReportReceived(Event):
-    """Another host told of its work at backend servers."""
+class PeerSent(Event):
+    """Another host sent a message."""
 
-    report: LoadReport
+    message: PeerMessage
+    draws: tuple[float, float]
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -7,6 +7,11 @@
 from geraniumhall_core.effects import CloseExchange, LogField, RefuseRequest, WriteLog
 from geraniumhall_core.events import CallerLeft, RequestArrived
 from geraniumhall_core.handlers.attempts import end_request, enqueue_request
+from geraniumhall_core.handlers.borrowing import (
+    forget_waiting,
+    may_borrow,
+    wait_for_loan,
+)
 from geraniumhall_core.handlers.limits import measure_cost, return_rate, spend_rate
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.keys import Proof
@@ -33,21 +38,31 @@
     if isinstance(admitted, Refusal):
         yield from _refuse_arrival(state, event, admitted)
         return
+    refusal = spend_rate(state, admitted.workspace, admitted.cost, event.at)
+    if refusal is not None and not may_borrow(state, admitted.workspace, event.at):
+        yield from _refuse_arrival(state, event, refusal)
+        return
     state.requests[event.request.request_id] = admitted
     state.counters["requests.accepted"] += 1
-    yield from enqueue_request(state, admitted, event.at, event.draws)
+    if refusal is not None:
+        yield from wait_for_loan(state, admitted, event.at)
+    else:
+        yield from enqueue_request(state, admitted, event.at, event.draws)
 
 
 @REDUCER.handles(CallerLeft)
 def forget_request(state: DaemonState, event: CallerLeft) -> Iterator[Effect]:
     """Drop a request whose caller left before it was sent anywhere."""
     record = state.requests.get(event.request_id)
-    if record is None or record.phase is not Phase.QUEUED:
+    if record is None or record.phase not in (Phase.BORROWING, Phase.QUEUED):
         return
-    queue = state.find_queue(record.entry)
-    queue.remove_waiting(record.workspace, event.request_id)
+    if record.phase is Phase.BORROWING:
+        forget_waiting(state, record)
+    else:
+        queue = state.find_queue(record.entry)
+        queue.remove_waiting(record.workspace, event.request_id)
+        return_rate(state, record)
     state.counters["requests.abandoned"] += 1
-    return_rate(state, record)
     end_request(state, record)
     yield CloseExchange(request_id=event.request_id)
 
@@ -67,11 +82,10 @@
     workspace = _identify_workspace(state, entry, request.proof, event.at)
     if isinstance(workspace, Refusal):
         return workspace
+    queue = state.find_queue(name)
+    if queue.waiting_count >= entry.limits.max_queued > 0:
+        return OVERLOADED
     limits = state.catalogue.workspaces.get(workspace)
-    cost = measure_cost(limits, request)
-    refusal = _check_capacity(state, name, entry, workspace, cost, event.at)
-    if refusal is not None:
-        return refusal
     return RequestRecord(
         request=request,
         entry=name,
@@ -80,7 +94,7 @@
         arrived_at=event.at,
         deadline=event.at + _choose_timeout(entry, request),
         first_answer_by=event.at + (entry.objectives.first_answer or inf),
-        cost=cost,
+        cost=measure_cost(limits, request),
         service=_choose_service(name, entry, event.draws[0]),
         priority=_choose_priority(state, entry, workspace),
     )
@@ -125,20 +139,6 @@
     return key.workspace if entry.permits(key.workspace) else NOT_PERMITTED
 
 
-def _check_capacity(
-    state: DaemonState,
-    name: str,
-    entry: CatalogueEntry,
-    workspace: str,
-    cost: float,
-    now: float,
-) -> Refusal | None:
-    queue = state.find_queue(name)
-    if queue.waiting_count >= entry.limits.max_queued > 0:
-        return OVERLOADED
-    return spend_rate(state, workspace, cost, now)
-
-
 def _choose_timeout(entry: CatalogueEntry, request: CallerRequest) -> float:
     if request.timeout is None:
         return entry.limits.deadline
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -115,6 +115,7 @@
     state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
     """Put an accepted request in its entry's queue and start what can run."""
+    record.phase = Phase.QUEUED
     state.find_retry_budget(record.service).earn()
     queue = state.find_queue(record.entry)
     queue.add_waiting(record.workspace, record.request.request_id)
@@ -146,7 +147,7 @@
 def end_request(state: DaemonState, record: RequestRecord) -> None:
     """Forget a request and give back its place."""
     del state.requests[record.request.request_id]
-    if record.phase is not Phase.QUEUED:
+    if record.phase in (Phase.READING, Phase.RUNNING):
         state.find_queue(record.entry).running -= 1
 
 
@@ -156,10 +157,10 @@
         if record.phase is Phase.QUEUED and record.deadline <= now:
             queue = state.find_queue(record.entry)
             queue.remove_waiting(record.workspace, record.request.request_id)
-            yield from _refuse_accepted(state, record, DEADLINE_EXCEEDED)
+            yield from refuse_accepted(state, record, DEADLINE_EXCEEDED)
 
 
-def _refuse_accepted(
+def refuse_accepted(
     state: DaemonState, record: RequestRecord, refusal: Refusal
 ) -> Iterator[Effect]:
     """Refuse a request after it was accepted."""
@@ -194,12 +195,12 @@
     """Send a request where it is placed; before that, its prompt if need be."""
     record.phase = Phase.RUNNING
     if record.deadline <= now:
-        yield from _refuse_accepted(state, record, DEADLINE_EXCEEDED)
+        yield from refuse_accepted(state, record, DEADLINE_EXCEEDED)
         return
     placement = find_placement(state, record, now, draws)
     if placement is None:
         refusal = NO_SERVER.retry_in(RETRY_AFTER_SECONDS)
-        yield from _refuse_accepted(state, record, refusal)
+        yield from refuse_accepted(state, record, refusal)
         return
     yield _log_placement(state, record, placement, now)
     if placement.reads_ahead:
@@ -228,7 +229,7 @@
     if placement is None:
         yield from _release_memory(record, Verdict.NOT_RUN)
         refusal = NO_SERVER.retry_in(RETRY_AFTER_SECONDS)
-        yield from _refuse_accepted(state, record, refusal)
+        yield from refuse_accepted(state, record, refusal)
         return
     yield _log_placement(state, record, placement, now)
     yield _send_request(state, record, placement, now)
@@ -327,7 +328,7 @@
         refusal = NO_SERVER.retry_in(RETRY_AFTER_SECONDS)
     if outcome is AttemptOutcome.TIMED_OUT:
         refusal = DEADLINE_EXCEEDED
-    yield from _refuse_accepted(state, record, refusal)
+    yield from refuse_accepted(state, record, refusal)
 
 
 def _log_placement(
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -36,6 +36,7 @@
 from geraniumhall_core.state import DaemonState, FeedState
 
 SERVER_KIND = "registered_server"
+SERVERS_WAIT_FACTOR = 3.0
 KINDS_BY_FEED = {
     Feed.CONFIGURATION: ("configuration",),
     Feed.SERVERS: (SERVER_KIND,),
@@ -93,7 +94,7 @@
     message: Message = ListObjects(feed)
     revision = state.feeds[feed].revision
     if revision:
-        message = WatchObjects(feed, revision, state.policy.watch_wait)
+        message = WatchObjects(feed, revision, _choose_wait(state, feed))
     return CallPlatform(purpose=FollowFeed(feed), message=message, delay=delay)
 
 
@@ -170,6 +171,16 @@
     )
 
 
+def _choose_wait(state: DaemonState, feed: Feed) -> float:
+    """Return the seconds that a watch may wait.
+
+    Keys and limits must be confirmed again and again; the list of servers
+    must not, so its watch waits until a lost connection has to be noticed.
+    """
+    factor = SERVERS_WAIT_FACTOR if feed is Feed.SERVERS else 1.0
+    return state.policy.watch_wait * factor
+
+
 def _choose_pause(state: DaemonState, feed: Feed, event: PlatformAnswered) -> float:
     """Return the seconds before the next call.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -18,6 +18,7 @@
     Ticked,
 )
 from geraniumhall_core.handlers.attempts import expire_waiting
+from geraniumhall_core.handlers.borrowing import expire_rounds
 from geraniumhall_core.handlers.feeds import expire_lapsed
 from geraniumhall_core.handlers.leases import give_up_lease, tend_lease
 from geraniumhall_core.handlers.limits import tend_buckets
@@ -35,6 +36,7 @@
 def advance_time(state: DaemonState, event: Ticked) -> Iterator[Effect]:
     """Expire waiting requests, tend duties and go on with a planned stop."""
     yield from expire_waiting(state, event.at)
+    yield from expire_rounds(state, event.at, event.draws)
     yield from expire_lapsed(state, event.at)
     expire_reports(state, event.at)
     tend_buckets(state, event.at)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
@@ -18,10 +18,12 @@
 
 
 def spend_rate(
-    state: DaemonState, name: str, cost: float, now: float
+    state: DaemonState, name: str, cost: float, now: float, is_new: bool = True
 ) -> Refusal | None:
     """Take a request's cost from this host's share, or return a refusal.
 
+    A request that is not new was counted in the demand before.
+
     Requests differ widely in tokens, and hosts learn of each other's demand
     late. Where tokens are counted, a bucket may therefore be overdrawn within
     the tolerance that the platform grants; the debt is earned back first.
@@ -29,7 +31,8 @@
     workspace = state.catalogue.workspaces.get(name)
     if workspace is None or workspace.rate is None:
         return None
-    state.demand.setdefault(name, DemandMeter()).add(cost, now)
+    if is_new:
+        state.demand.setdefault(name, DemandMeter()).add(cost, now)
     bucket = _tend_bucket(state, name, workspace, now)
     needed = cost
     if workspace.unit is RateUnit.TOKENS:
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/peers.py
@@ -0,0 +1,37 @@
+"""Messages of other hosts, sent on to the handler of their type."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from xxhash import xxh64_intdigest
+
+from geraniumhall_core.events import PeerSent
+from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.reducer import Effect
+from geraniumhall_core.registry import Registry
+from geraniumhall_core.state import DaemonState
+
+MAX_PEERS = 16
+
+MessageHandler = Callable[[DaemonState, PeerSent, Any], Iterator[Effect]]
+MESSAGE_HANDLERS: Registry[type, MessageHandler] = Registry("peer message handler")
+
+
+@REDUCER.handles(PeerSent)
+def receive_message(state: DaemonState, event: PeerSent) -> Iterator[Effect]:
+    """Pass a message of another host to the handler of its type."""
+    if event.message.host != state.policy.host:
+        handler = MESSAGE_HANDLERS.find(type(event.message))
+        yield from handler(state, event, event.message)
+
+
+def list_peers(state: DaemonState, now: float) -> dict[str, str]:
+    """Return the addresses of all live hosts, or of a fixed sample of them.
+
+    The sample keeps the messages of a large fleet bounded for each host.
+    """
+    live = state.hosts.list_live(now, state.policy.host_silence)
+    listening = {name: r.peer_address for name, r in live.items() if r.peer_address}
+    seed = xxh64_intdigest(state.policy.host)
+    ranked = sorted(listening, key=lambda name: xxh64_intdigest(name, seed=seed))
+    return {name: listening[name] for name in ranked[:MAX_PEERS]}
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -129,7 +129,7 @@
         incarnation=state.policy.incarnation,
         sequence=state.publishing.sequence,
         published_at=round(wall_time, 3),
-        report_address=state.policy.report_address,
+        peer_address=state.policy.peer_address,
         is_leaving=state.is_draining,
         demands=tuple(
             Demand(name, rate)
--- a/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
@@ -25,14 +25,15 @@
     """What a daemon says of itself; `sequence` rises with every write.
 
     `published_at` is in seconds since the epoch on the daemon's host.
-    `report_address` takes load reports; it is empty without a listener.
+    `peer_address` takes messages of other hosts; it is empty without a
+    listener.
     """
 
     failure_domain: str
     incarnation: int
     sequence: int
     published_at: float = 0.0
-    report_address: str = ""
+    peer_address: str = ""
     is_leaving: bool = False
     demands: tuple[Demand, ...] = ()
     usage: tuple[WindowUsage, ...] = ()
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -16,7 +16,7 @@
     host: str
     failure_domain: str
     incarnation: int
-    report_address: str = ""
+    peer_address: str = ""
     has_duties: bool = True
     routing: str = "prefix_affinity"
     planning: str = "earliest_answer"
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -67,6 +67,7 @@
 class Phase(Enum):
     """Where a request stands."""
 
+    BORROWING = "borrowing"
     QUEUED = "queued"
     READING = "reading"
     RUNNING = "running"
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -10,6 +10,7 @@
 from geraniumhall_core.hosts import HostsView
 from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
+from geraniumhall_core.loans import BorrowingState
 from geraniumhall_core.orders import OrderState
 from geraniumhall_core.platform import Feed
 from geraniumhall_core.policy import Policy
@@ -126,6 +127,7 @@
     live_hosts: int = 1
     demand: dict[str, DemandMeter] = attrs.field(factory=dict)
     buckets: dict[str, TokenBucket] = attrs.field(factory=dict)
+    borrowing: BorrowingState = attrs.field(factory=BorrowingState)
     has_buckets: bool = False
     retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     requests: dict[str, RequestRecord] = attrs.field(factory=dict)
--- a/packages/geraniumhall-core/tests/test_reports.py
+++ b/packages/geraniumhall-core/tests/test_reports.py
@@ -6,8 +6,8 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from geraniumhall_core.effects import SendReport
-from geraniumhall_core.events import ReportReceived, Ticked
+from geraniumhall_core.effects import SendToPeers
+from geraniumhall_core.events import PeerSent, Ticked
 from geraniumhall_core.fleet import ForeignWork
 from geraniumhall_core.hosts import HostRecord
 from geraniumhall_core.platform import Changes, Feed
@@ -22,11 +22,16 @@
     return LoadReport(host=host, incarnation=1, sequence=sequence, work=work)
 
 
+def tell(report: LoadReport) -> PeerSent:
+    """Return the event of a report that came."""
+    return PeerSent(at=2.0, message=report, draws=(0.5, 0.5))
+
+
 def build_peered_state() -> DaemonState:
     """Return a state that knows another host with a listener."""
-    state = build_state(policy={"report_address": "10.0.0.1:7000"})
+    state = build_state(policy={"peer_address": "10.0.0.1:7000"})
     record = HostRecord(
-        failure_domain="b", incarnation=1, sequence=1, report_address="10.0.0.2:7000"
+        failure_domain="b", incarnation=1, sequence=1, peer_address="10.0.0.2:7000"
     )
     change = VersionedRecord(ObjectKey("host", "h2"), 101, record)
     follow(state, Feed.RECORDS, Changes(101, (change,)))
@@ -75,30 +80,29 @@
     def test_new_work_is_told(self) -> None:
         """A request that is sent to a server is reported at once."""
         effects = reduce(build_peered_state(), build_arrival())
-        effect = find_effect(effects, SendReport)
+        effect = find_effect(effects, SendToPeers)
         self.assertEqual(effect.addresses, ("10.0.0.2:7000",))
-        self.assertEqual([w.requests for w in effect.report.work], [1])
+        self.assertEqual([w.requests for w in effect.message.work], [1])
 
     def test_reports_are_paced(self) -> None:
         """Changes in quick succession share a report."""
         state = build_peered_state()
         reduce(state, build_arrival("r1"))
         effects = reduce(state, build_arrival("r2", at=2.001))
-        self.assertFalse([e for e in effects if isinstance(e, SendReport)])
+        self.assertFalse([e for e in effects if isinstance(e, SendToPeers)])
         ticked = reduce(state, Ticked(at=2.1, wall_time=2.1, draws=(0.0, 0.0)))
-        report = find_effect(ticked, SendReport).report
+        report = find_effect(ticked, SendToPeers).message
         self.assertEqual(sum(w.requests for w in report.work), 2)
 
     def test_own_report_is_no_foreign_work(self) -> None:
         """A report that came back is not counted."""
         state = build_peered_state()
-        event = ReportReceived(at=2.0, report=build_report(1, 5, "h1"))
-        reduce(state, event)
+        reduce(state, tell(build_report(1, 5, "h1")))
         self.assertEqual(state.find_foreign_work("e1"), ForeignWork())
 
     def test_unheard_hosts_are_estimated(self) -> None:
         """Hosts that did not report are taken to do as much as those that did."""
         state = build_peered_state()
         state.live_hosts = 5
-        reduce(state, ReportReceived(at=2.0, report=build_report(1, 2)))
+        reduce(state, tell(build_report(1, 2)))
         self.assertEqual(state.find_foreign_work("e1"), ForeignWork(8, 800))
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -85,7 +85,7 @@
     exchanges: dict[str, Exchange] = attrs.field(factory=dict)
     admin_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
     listeners: list[Listener] = attrs.field(factory=list)
-    reports_socket: trio.socket.SocketType | None = None
+    peers_socket: trio.socket.SocketType | None = None
     nursery: trio.Nursery | None = None
     is_ending: bool = False
     ended: trio.Event = attrs.field(factory=trio.Event)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -15,8 +15,8 @@
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_daemon.logs import configure_logs, write_log
+from geraniumhall_daemon.peers import open_peers_socket, receive_messages
 from geraniumhall_daemon.reloads import SettingsFile
-from geraniumhall_daemon.reports import open_reports_socket, receive_reports
 from geraniumhall_daemon.serving import serve_status
 from geraniumhall_net.listener import Listener
 from geraniumhall_platform import ObjectsDriver, RoutedFront
@@ -69,9 +69,9 @@
     """Serve callers and operators until a planned stop has ended."""
     try:
         listeners = await open_listeners(daemon)
-        if daemon.settings.hosts.reports:
-            address = daemon.settings.hosts.reports
-            daemon.reports_socket = await open_reports_socket(address)
+        if daemon.settings.hosts.listen:
+            address = daemon.settings.hosts.listen
+            daemon.peers_socket = await open_peers_socket(address)
     except OSError as error:
         write_log("error", "listen_failed", {"reason": str(error)})
         sys.exit(EXIT_SETTINGS)
@@ -80,8 +80,8 @@
         daemon.nursery = nursery
         nursery.start_soon(watch_signals, daemon, file)
         nursery.start_soon(watch_settings, daemon, file)
-        if daemon.reports_socket is not None:
-            nursery.start_soon(receive_reports, daemon)
+        if daemon.peers_socket is not None:
+            nursery.start_soon(receive_messages, daemon)
         for listener in listeners.values():
             nursery.start_soon(listener.serve, nursery)
         addresses = {name: item.address for name, item in listeners.items()}
--- /dev/null
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/peers.py
@@ -0,0 +1,51 @@
+"""Messages between hosts, over UDP."""
+
+import trio
+
+from geraniumhall_core.effects import SendToPeers
+from geraniumhall_core.events import PeerSent
+from geraniumhall_daemon.daemon import PERFORMERS, Daemon
+from geraniumhall_daemon.logs import write_log
+from geraniumhall_wire.converter import InvalidDataError
+from geraniumhall_wire.peers import decode_message, encode_message
+from geraniumhall_wire.settings import split_address
+
+MAX_DATAGRAM_BYTES = 65536
+
+
+async def receive_messages(daemon: Daemon) -> None:
+    """Take in messages until cancelled; what is none is logged and dropped."""
+    assert daemon.peers_socket is not None
+    while True:
+        try:
+            data, _ = await daemon.peers_socket.recvfrom(MAX_DATAGRAM_BYTES)
+            message = decode_message(data)
+        except InvalidDataError as error:
+            write_log("warning", "peer_message_unusable", {"reason": str(error)})
+        except OSError as error:
+            write_log("warning", "peer_message_not_received", {"reason": str(error)})
+        else:
+            daemon.dispatch(
+                PeerSent(at=daemon.read_now(), message=message, draws=daemon.draw())
+            )
+
+
+async def open_peers_socket(address: str) -> trio.socket.SocketType:
+    """Bind the address for messages, or raise `OSError`."""
+    opened = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
+    await opened.bind(split_address(address))
+    return opened
+
+
+@PERFORMERS.performs(SendToPeers)
+async def send_to_peers(daemon: Daemon, effect: SendToPeers) -> None:
+    """Send a message to each peer; one that can't be sent is as good as lost."""
+    if daemon.peers_socket is None:
+        return
+    data = encode_message(effect.message)
+    for address in effect.addresses:
+        try:
+            await daemon.peers_socket.sendto(data, split_address(address))
+        except OSError as error:
+            fields = {"address": address, "reason": str(error)}
+            write_log("debug", "peer_message_not_sent", fields)
--- /dev/null
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -0,0 +1,88 @@
+"""Messages between hosts as datagrams, in MessagePack.
+
+A datagram is a list: the format's version, the name of the message, and its
+fields in the order of the class. Each message has an encoder and a decoder
+under its name.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from msgpack import packb, unpackb
+from msgpack.exceptions import UnpackException
+
+from geraniumhall_core.loans import Loan, LoanRequest
+from geraniumhall_core.peers import PeerMessage
+from geraniumhall_core.registry import Registry
+from geraniumhall_core.reports import LoadReport, ServerWork
+from geraniumhall_wire.converter import Fault, InvalidDataError
+
+FORMAT_VERSION = 2
+NAMES = {LoadReport: "load", LoanRequest: "ask", Loan: "loan"}
+
+Decoder = Callable[[list[Any]], PeerMessage]
+DECODERS: Registry[str, Decoder] = Registry("peer message decoder")
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return the datagram of a message."""
+    return packb([FORMAT_VERSION, NAMES[type(message)], *attrs.astuple(message)])
+
+
+def decode_message(data: bytes) -> PeerMessage:
+    """Return the message in a datagram, or raise `InvalidDataError`."""
+    try:
+        version, name, *fields = unpackb(data)
+        if version != FORMAT_VERSION:
+            raise ValueError(f"format {version!r}, expected {FORMAT_VERSION}")
+        return DECODERS.find(name)(fields)
+    except (ValueError, TypeError, LookupError, UnpackException) as error:
+        raise InvalidDataError((Fault("$", f"no peer message: {error}"),)) from error
+
+
+@DECODERS.register("load")
+def decode_report(fields: list[Any]) -> LoadReport:
+    """Return a load report."""
+    host, incarnation, sequence, work = fields
+    return LoadReport(
+        host=str(host),
+        incarnation=int(incarnation),
+        sequence=int(sequence),
+        work=tuple(
+            ServerWork(str(server), int(requests), int(tokens))
+            for server, requests, tokens in work
+        ),
+    )
+
+
+@DECODERS.register("ask")
+def decode_loan_request(fields: list[Any]) -> LoanRequest:
+    """Return a request for tokens."""
+    host, address, workspace, amount, number = fields
+    return LoanRequest(
+        host=str(host),
+        address=str(address),
+        workspace=str(workspace),
+        amount=_take_amount(amount),
+        number=int(number),
+    )
+
+
+@DECODERS.register("loan")
+def decode_loan(fields: list[Any]) -> Loan:
+    """Return a loan."""
+    host, workspace, amount, number = fields
+    return Loan(
+        host=str(host),
+        workspace=str(workspace),
+        amount=_take_amount(amount),
+        number=int(number),
+    )
+
+
+def _take_amount(value: Any) -> float:
+    amount = float(value)
+    if not 0.0 <= amount < float("inf"):
+        raise ValueError(f"amount {amount!r}, expected a finite one from 0")
+    return amount
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -25,7 +25,7 @@
 )
 from geraniumhall_wire.units import Address, ByteCount, Seconds, register_units
 
-FRESH_FRACTION = 0.6
+FRESH_FRACTION = 0.9
 READY_FRACTION = 0.5
 RETRY_FRACTION = 0.6
 ACCEPT_FRACTION = 0.35
@@ -140,14 +140,14 @@
     Each writes a record to the store every `publish_interval` or less often.
 
     A host whose record has not changed for `silence` is taken to be gone.
-    `reports` is the address for load reports between hosts, datagrams that
-    may be lost; without it this host sends and takes none.
+    `listen` is the address for messages between hosts, datagrams that may be
+    lost; without it this host sends and takes none.
     """
 
-    reports: str = ""
+    listen: str = ""
 
-    publish_interval: Seconds = Seconds(1.0)
-    silence: Seconds = Seconds(4.0)
+    publish_interval: Seconds = Seconds(1.5)
+    silence: Seconds = Seconds(6.0)
 
 
 @attrs.frozen(kw_only=True)
@@ -319,7 +319,7 @@
             host=self.host.name,
             failure_domain=self.host.failure_domain,
             incarnation=incarnation,
-            report_address=self.hosts.reports,
+            peer_address=self.hosts.listen,
             has_duties=self.platform.has_duties,
             routing=self.routing.policy,
             planning=self.routing.planning,
--- /dev/null
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -0,0 +1,70 @@
+"""Tests of messages between hosts as datagrams."""
+
+import unittest
+
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
+from geraniumhall_core.loans import Loan, LoanRequest
+from geraniumhall_core.peers import PeerMessage
+from geraniumhall_core.reports import LoadReport, ServerWork
+from geraniumhall_wire.converter import InvalidDataError
+from geraniumhall_wire.peers import NAMES, decode_message, encode_message
+
+WORK = (ServerWork("e1", 3, 900), ServerWork("e2", 1, 0))
+MESSAGES: tuple[PeerMessage, ...] = (
+    LoadReport(host="h1", incarnation=7 << 40, sequence=5, work=WORK),
+    LoadReport(host="h1", incarnation=1, sequence=1),
+    LoanRequest(
+        host="h1", address="10.0.0.1:7", workspace="audit", amount=5.5, number=2
+    ),
+    Loan(host="h2", workspace="audit", amount=0.0, number=2),
+)
+
+
+class PeerMessageTest(unittest.TestCase):
+    """A datagram is a message or a fault."""
+
+    def test_round_trip(self) -> None:
+        """Each message comes back as it was."""
+        for message in MESSAGES:
+            with self.subTest(message=message):
+                self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_every_message_is_tried(self) -> None:
+        """No message is left out of this test."""
+        self.assertEqual({type(m) for m in MESSAGES}, set(NAMES))
+
+    def test_report_is_small(self) -> None:
+        """A server costs a report some twenty bytes."""
+        size = len(encode_message(MESSAGES[0])) - len(encode_message(MESSAGES[1]))
+        self.assertLess(size, 2 * 20)
+
+    def test_amounts_must_be_finite_and_not_negative(self) -> None:
+        """A loan can't take tokens away, or make too many."""
+        for amount in (-1.0, float("nan"), float("inf")):
+            loan = Loan(host="h", workspace="w", amount=amount, number=1)
+            with self.subTest(amount=amount), self.assertRaises(InvalidDataError):
+                decode_message(encode_message(loan))
+
+    @seed(20261204)
+    @given(st.binary(max_size=80))
+    def test_any_bytes_are_a_message_or_a_fault(self, data: bytes) -> None:
+        """Nothing else is raised."""
+        try:
+            decode_message(data)
+        except InvalidDataError as error:
+            self.assertTrue(error.faults)
+
+    @seed(20261204)
+    @given(st.integers(0, 200), st.integers(0, 255))
+    def test_any_changed_byte_is_a_message_or_a_fault(
+        self, place: int, value: int
+    ) -> None:
+        """A damaged datagram raises nothing else."""
+        data = bytearray(encode_message(MESSAGES[0]))
+        data[place % len(data)] = value
+        try:
+            decode_message(bytes(data))
+        except InvalidDataError as error:
+            self.assertTrue(error.faults)
