Carry the time of day over jumps, and wait longer for hosts cut off

Change: the wall clock is carried on by CLOCK_BOOTTIME and follows a step only after it has lasted a minute; a window waits up to 2.6 times its grace.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
@@ -30,7 +30,7 @@
 from geraniumhall_core.usage import WINDOWS_KEPT, UsageSeals, WindowUsage, add_windows
 
 RETRY_SECONDS = 0.5
-LATEST_SEAL_FACTOR = 2.0
+LATEST_SEAL_FACTOR = 2.6
 
 
 def tend_usage(state: DaemonState, now: float, wall_time: float) -> Iterator[Effect]:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/clock.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/clock.py
@@ -1,18 +1,49 @@
 """Clocks of a daemon process."""
 
 import time
+from collections.abc import Callable
 
 import attrs
 
+STEP_SECONDS = 0.5
+SETTLE_SECONDS = 60.0
 
-@attrs.frozen
+
+def read_boot_time() -> float:
+    """Return seconds since the host started, suspension included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.define
 class SystemClock:
-    """The host's clocks, in seconds."""
+    """The host's clocks, in seconds.
+
+    The time of day may jump and jump back. It is therefore carried on from
+    the process's start by the clock that never jumps, and a step is followed
+    only once it has lasted `SETTLE_SECONDS`.
+    """
+
+    boot_clock: Callable[[], float] = read_boot_time
+    wall_clock: Callable[[], float] = time.time
+    _offset: float = attrs.field(init=False)
+    _stepped_at: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self._offset = self.wall_clock() - self.boot_clock()
 
     def read_now(self) -> float:
         """Return a clock that never runs back and counts suspension."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
+        return self.boot_clock()
 
     def read_wall_time(self) -> float:
         """Return seconds since the epoch."""
-        return time.time()
+        now = self.boot_clock()
+        offset = self.wall_clock() - now
+        if abs(offset - self._offset) < STEP_SECONDS:
+            self._stepped_at = None
+        elif self._stepped_at is None:
+            self._stepped_at = now
+        elif now - self._stepped_at >= SETTLE_SECONDS:
+            self._offset = offset
+            self._stepped_at = None
+        return now + self._offset
