--- a/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -184,11 +184,6 @@
         """Print a summary of the daemon."""
         self._print("GET", "/admin/v1/status")
 
-    def hosts(self) -> None:
-        """List the platform's hosts."""
-        data = self._target.call("GET", "/admin/v1/hosts").data
-        print_result(data["hosts"], self._target.json)
-
     def members(self) -> None:
         """List the other daemons as this one sees them."""
         data = self._target.call("GET", "/admin/v1/members").data
--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -19,17 +19,11 @@
 from geraniumhall_core.orders import ServerRole, ServerWish
 from geraniumhall_core.records import DELETED, RECORD_KINDS, ObjectKey, VersionedRecord
 
-CATALOGUE_KINDS = (
-    "entry",
-    "workspace",
-    "key",
-    "server",
-    "wish",
-    "configuration",
-    "registered_server",
-)
+CONFIGURATION_KIND = "configuration"
+REGISTERED_SERVER_KIND = "registered_server"
 EDITABLE_KINDS = ("entry", "workspace", "key", "server", "wish")
-CONFIGURATION_KEY = ObjectKey("configuration", "main")
+CATALOGUE_KINDS = (*EDITABLE_KINDS, CONFIGURATION_KIND, REGISTERED_SERVER_KIND)
+CONFIGURATION_KEY = ObjectKey(CONFIGURATION_KIND, "main")
 
 
 class ServiceClass(Enum):
@@ -183,7 +177,7 @@
 
 
 @RECORD_KINDS.register("server")
-@RECORD_KINDS.register("registered_server")
+@RECORD_KINDS.register(REGISTERED_SERVER_KIND)
 @attrs.frozen(kw_only=True)
 class BackendServer:
     """A model engine or plain service that answers requests.
@@ -213,7 +207,7 @@
 RECORD_KINDS.register("key")(KeyRecord)
 
 
-@RECORD_KINDS.register("configuration")
+@RECORD_KINDS.register(CONFIGURATION_KIND)
 @attrs.frozen(kw_only=True)
 class Configuration:
     """What the platform's operators configured, as one object."""
@@ -249,7 +243,7 @@
     @property
     def configuration(self) -> Configuration | None:
         """The operators' configuration, None before there is one."""
-        return self.tables["configuration"].get(CONFIGURATION_KEY.name)
+        return self.tables[CONFIGURATION_KIND].get(CONFIGURATION_KEY.name)
 
     @property
     def wishes(self) -> dict[str, ServerWish]:
@@ -324,7 +318,7 @@
     catalogue.workspaces = {**tables["workspace"], **configured.workspaces}
     catalogue.keys = {**tables["key"], **configured.keys}
     catalogue.services = configured.services
-    catalogue.servers = {**tables["server"], **tables["registered_server"]}
+    catalogue.servers = {**tables["server"], **tables[REGISTERED_SERVER_KIND]}
     catalogue.servers_by_service = _group_servers(catalogue.servers)
     catalogue.entries_by_prefix = _map_prefixes(catalogue.entries)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -7,7 +7,13 @@
 
 from collections.abc import Iterator
 
-from geraniumhall_core.catalogue import CATALOGUE_KINDS, apply_changes, find_missing
+from geraniumhall_core.catalogue import (
+    CONFIGURATION_KIND,
+    EDITABLE_KINDS,
+    REGISTERED_SERVER_KIND,
+    apply_changes,
+    find_missing,
+)
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import DaemonStarted, PlatformAnswered
 from geraniumhall_core.handlers.limits import tend_buckets
@@ -35,14 +41,11 @@
 from geraniumhall_core.retries import compute_backoff
 from geraniumhall_core.state import DaemonState, FeedState
 
-SERVER_KIND = "registered_server"
 SERVERS_WAIT_FACTOR = 3.0
 KINDS_BY_FEED = {
-    Feed.CONFIGURATION: ("configuration",),
-    Feed.SERVERS: (SERVER_KIND,),
-    Feed.RECORDS: tuple(
-        kind for kind in CATALOGUE_KINDS if kind not in ("configuration", SERVER_KIND)
-    ),
+    Feed.CONFIGURATION: (CONFIGURATION_KIND,),
+    Feed.SERVERS: (REGISTERED_SERVER_KIND,),
+    Feed.RECORDS: EDITABLE_KINDS,
 }
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
@@ -39,7 +39,10 @@
 from geraniumhall_core.usage import UsageLine
 
 HISTORY_LENGTH = 4096
-FEEDS_BY_KIND = {"configuration": Feed.CONFIGURATION, "registered_server": Feed.SERVERS}
+FEEDS_BY_KIND = {
+    CONFIGURATION_KIND: Feed.CONFIGURATION,
+    REGISTERED_SERVER_KIND: Feed.SERVERS,
+}
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -21,11 +21,6 @@
     feed: Feed
 
 
-@attrs.frozen
-class ReadOwnRecord(Purpose):
-    """Read what an earlier process of this host published."""
-
-
 @attrs.frozen
 class PublishHost(Purpose):
     """Write this host's record."""
