--- a/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from geraniumhall_core.catalogue import CONFIGURATION_KIND, REGISTERED_SERVER_KIND
 from geraniumhall_core.platform import (
     Answer,
     Changes,
