Test that a restart brings no second burst, and what is held after an outage

Not noticed: a new process with a full bucket, which had no test, and a leaving server kept after an outage, whose test looked at candidates only.

--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -2,8 +2,17 @@
 
 import unittest
 
-from builders import build_server, build_state, find_effect, follow, reduce
+from builders import (
+    build_listing,
+    build_records,
+    build_server,
+    build_state,
+    find_effect,
+    follow,
+    reduce,
+)
 
+from geraniumhall_core.catalogue import Workspace
 from geraniumhall_core.effects import CallPlatform
 from geraniumhall_core.events import Ticked
 from geraniumhall_core.platform import (
@@ -15,6 +24,7 @@
     PlatformFailure,
     WatchObjects,
 )
+from geraniumhall_core.policy import Policy
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
@@ -96,7 +106,7 @@
 
     def test_leaving_server_is_not_kept(self) -> None:
         """A server that said it leaves is gone, whatever the store did."""
-        self.assertNotIn("e9", list_servers(self.lapse(leaving=True)))
+        self.assertNotIn("e9", self.lapse(leaving=True).catalogue.servers)
 
     def test_entry_that_stays_away_is_dropped(self) -> None:
         """After the grace a missing entry counts as gone."""
@@ -112,6 +122,33 @@
         self.assertIn("e9", list_servers(state))
 
 
+class BucketTest(unittest.TestCase):
+    """The first reading decides what buckets hold."""
+
+    def build(self) -> DaemonState:
+        """Return the state of a process that has just read everything."""
+        policy = Policy(host="h1", failure_domain="a", incarnation=2)
+        state = DaemonState.from_policy(policy)
+        follow(state, Feed.CONFIGURATION, Listing(100, ()))
+        follow(state, Feed.SERVERS, Listing(100, ()))
+        follow(state, Feed.RECORDS, build_listing(build_records()))
+        return state
+
+    def test_restart_brings_no_second_burst(self) -> None:
+        """A process that starts holds nothing of the limits that it finds."""
+        self.assertEqual(self.build().buckets["audit"].tokens, 0.0)
+
+    def test_new_workspace_has_its_burst(self) -> None:
+        """A workspace that appears later is new on every host."""
+        state = self.build()
+        change = VersionedRecord(
+            ObjectKey("workspace", "new"), 101, Workspace(rate=1.0, burst=7.0)
+        )
+        follow(state, Feed.RECORDS, Changes(101, (change,)))
+        reduce(state, Ticked(at=1.1, wall_time=1.1, draws=(0.0, 0.0)))
+        self.assertEqual(state.buckets["new"].tokens, 7.0)
+
+
 class RestartTest(unittest.TestCase):
     """A server may start again under its id."""
 
--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -194,7 +194,7 @@
         f"{CORE}/handlers/limits.py",
         "held = share.burst if state.has_buckets else 0.0",
         "held = share.burst",
-        "test_admission",
+        "test_feeds",
     ),
     Mutation(
         10,
