Keep connections to a server within its cap over all hosts

Cause: a server accepts a bounded number of connections from all hosts together and resets the others; the bound was decoded and read by nothing. Idle connections were closed only when one was taken at the same address, so those to servers that had left stayed open.

Change: a host has its part of 0.8 of the cap by the live hosts. A server at which it has that many requests is passed over, and without any other the request is refused as not run. The pool counts open connections by address, a new one beyond the share closes an idle one, and idle ones are swept.

Ruled out: a fixed bound on idle connections alone; requests that may not be repeated take new connections, so in use and idle add up beyond it.

--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -26,6 +26,7 @@
 
     `timeout` is in seconds. Without `reuse` the attempt goes over a new
     connection, so that a failure to connect proves that nothing was sent.
+    `max_connections` is this host's share of what the server accepts.
     `workspace` is empty for a caller without a key. `priority` is what the
     server is to rank the request by, zero first.
     """
@@ -36,6 +37,7 @@
     address: str
     timeout: float
     reuse: bool
+    max_connections: int | None = None
     workspace: str = ""
     priority: int | None = None
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -213,6 +213,7 @@
             address=state.catalogue.servers[placement.server].address,
             timeout=record.deadline - now,
             reuse=True,
+            max_connections=state.find_connection_share(placement.server),
             workspace=record.workspace,
             priority=record.priority,
         )
@@ -246,6 +247,7 @@
         address=state.catalogue.servers[placement.server].address,
         timeout=record.deadline - now,
         reuse=record.repeatable,
+        max_connections=state.find_connection_share(placement.server),
         workspace=record.workspace,
         priority=record.priority,
         memory=record.memory,
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -58,7 +58,7 @@
 
 
 def has_alternative(state: DaemonState, record: RequestRecord, now: float) -> bool:
-    """Tell whether a server is left that was not tried for the request.
+    """Tell whether a server with room is left that was not tried for the request.
 
     An engine that only reads prompts can't answer, so it does not count.
     """
@@ -76,7 +76,7 @@
 
 def _list_untried(state: DaemonState, record: RequestRecord) -> list[str]:
     names = state.catalogue.servers_by_service.get(record.service, ())
-    return [name for name in names if name not in record.tried]
+    return [n for n in names if n not in record.tried and state.has_room(n)]
 
 
 def _place_by_routing(
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -20,6 +20,8 @@
 from geraniumhall_core.retries import RetryBudget
 from geraniumhall_core.usage import UsageLedger, UsageSeals
 
+CONNECTION_FRACTION = 0.8  # the rest is for hosts not heard of yet and released memory
+
 
 @attrs.define
 class DrainState:
@@ -188,6 +190,21 @@
         others = max(self.live_hosts - 1, len(self.reports.heard))
         return told.scale(others / max(1, len(self.reports.heard)))
 
+    def find_connection_share(self, server: str) -> int | None:
+        """Return how many connections this host may have to a backend server."""
+        record = self.catalogue.servers.get(server)
+        services = record.services if record else ()
+        limits = [self.catalogue.find_service(s).max_connections for s in services]
+        known = [limit for limit in limits if limit is not None]
+        if not known:
+            return None
+        return max(1, int(min(known) * CONNECTION_FRACTION / self.live_hosts))
+
+    def has_room(self, server: str) -> bool:
+        """Tell whether a backend server may get another request of this host."""
+        share = self.find_connection_share(server)
+        return share is None or self.find_load(server).outstanding < share
+
     def find_queue(self, entry: str) -> EntryQueue:
         """Return the queue of an entry, made on first use."""
         return self.queues.setdefault(entry, EntryQueue())
--- a/packages/geraniumhall-core/tests/test_attempts.py
+++ b/packages/geraniumhall-core/tests/test_attempts.py
@@ -2,8 +2,17 @@
 
 import unittest
 
-from builders import build_arrival, build_end, build_state, find_effect, reduce
+from builders import (
+    build_arrival,
+    build_end,
+    build_listing,
+    build_state,
+    find_effect,
+    follow,
+    reduce,
+)
 
+from geraniumhall_core.catalogue import CONFIGURATION_KEY, Configuration, Service
 from geraniumhall_core.effects import (
     AbortResponse,
     CloseExchange,
@@ -11,13 +20,55 @@
     RelayRequest,
 )
 from geraniumhall_core.events import ResponseStarted
+from geraniumhall_core.platform import Feed
 from geraniumhall_core.requests import AttemptOutcome, PathTarget
+from geraniumhall_core.state import DaemonState
 from geraniumhall_core.usage import UsageFigures
 from geraniumhall_core.verdict import Verdict
 
 FILING = PathTarget("/filings")
 
 
+class ConnectionShareTest(unittest.TestCase):
+    """The hosts together stay within the connections that a server accepts."""
+
+    def build_state(self, live_hosts: int = 1) -> DaemonState:
+        """Return a state in which a server of `draft` takes five connections."""
+        state = build_state()
+        services = {"draft": Service(max_connections=5)}
+        record = Configuration(version=1, services=services)
+        listing = build_listing({CONFIGURATION_KEY: record}, revision=200)
+        follow(state, Feed.CONFIGURATION, listing)
+        state.live_hosts = live_hosts
+        return state
+
+    def test_full_server_is_passed_over(self) -> None:
+        """Once a server has the host's share, others get the requests."""
+        state = self.build_state()
+        state.find_load("e1").outstanding = 4
+        relays = [
+            find_effect(reduce(state, build_arrival(f"r{n}")), RelayRequest)
+            for n in range(3)
+        ]
+        self.assertEqual({relay.server for relay in relays}, {"e2"})
+
+    def test_all_servers_are_full(self) -> None:
+        """Without room anywhere the request is refused as not run."""
+        state = self.build_state()
+        for name in ("e1", "e2"):
+            state.find_load(name).outstanding = 4
+        refusal = find_effect(reduce(state, build_arrival()), RefuseRequest).refusal
+        self.assertIs(refusal.verdict, Verdict.NOT_RUN)
+
+    def test_share_shrinks_with_the_hosts(self) -> None:
+        """Two hosts have two connections each, and many have one each."""
+        state = self.build_state(live_hosts=2)
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        self.assertEqual(relay.max_connections, 2)
+        state.live_hosts = 100
+        self.assertEqual(state.find_connection_share("e1"), 1)
+
+
 class RetryTest(unittest.TestCase):
     """Only what is safe to repeat is repeated."""
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -94,7 +94,10 @@
         return self._fail(AttemptOutcome.BROKEN, "the backend server fell silent")
 
     async def _attempt(self) -> AttemptResult:
-        upstream = await self.daemon.pool.take(self.effect.address, self.effect.reuse)
+        effect = self.effect
+        upstream = await self.daemon.pool.take(
+            effect.address, effect.reuse, effect.max_connections
+        )
         self.upstream = upstream
         self.is_sent = True
         front, call = self.daemon.front, self.exchange.call
@@ -233,7 +236,7 @@
         if self.is_whole:
             await self.daemon.pool.give_back(self.effect.address, self.upstream)
         else:
-            await self.upstream.close()
+            await self.daemon.pool.discard(self.effect.address, self.upstream)
 
 
 @EXCHANGE_STEPS.register(ReadPrompt)
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -5,6 +5,7 @@
 """
 
 import select
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from json import dumps
 from re import compile as compile_pattern
@@ -203,45 +204,93 @@
 
 @attrs.define(eq=False)
 class ClientPool:
-    """Idle connections by address; times are in seconds."""
+    """Open connections by address; times are in seconds."""
 
     connector: Connector = connect_tcp
     connect_timeout: float = 1.0
     idle_timeout: float = 4.0
     max_idle: int = 64
     _idle: dict[str, list[ClientConnection]] = attrs.field(factory=dict, init=False)
+    _open: Counter[str] = attrs.field(factory=Counter, init=False)
+    _next_sweep: float = attrs.field(default=float("-inf"), init=False)
 
-    async def take(self, address: str, reuse: bool = True) -> ClientConnection:
-        """Return an idle connection or a new one; raises `ConnectFailedError`."""
+    async def take(
+        self, address: str, reuse: bool = True, limit: int | None = None
+    ) -> ClientConnection:
+        """Return an idle connection or a new one; raises `ConnectFailedError`.
+
+        With a `limit` to the address's open connections, an idle one that
+        can't be used makes room for a new one.
+        """
+        await self._sweep()
         idle = self._idle.get(address, [])
         while reuse and idle:
             connection = idle.pop()
             if self._is_usable(connection):
                 return connection
-            await connection.close()
-        with trio.move_on_after(self.connect_timeout):
-            return ClientConnection.from_stream(await self.connector(address), address)
-        raise ConnectFailedError(f"{address}: no connection in time")
+            await self.discard(address, connection)
+        while limit is not None and idle and self._open[address] >= limit:
+            await self.discard(address, idle.pop(0))
+        return await self._connect(address)
 
     async def give_back(self, address: str, connection: ClientConnection) -> None:
         """Keep a connection whose exchange is whole, if it can be used again."""
         idle = self._idle.setdefault(address, [])
         if len(idle) >= self.max_idle or not connection.start_next_cycle():
-            await connection.close()
+            await self.discard(address, connection)
             return
         connection.idle_since = trio.current_time()
         idle.append(connection)
 
-    def _is_usable(self, connection: ClientConnection) -> bool:
-        idle = trio.current_time() - connection.idle_since
-        limit = min(self.idle_timeout, connection.idle_limit)
-        return idle <= limit and connection.is_quiet
+    async def discard(self, address: str, connection: ClientConnection) -> None:
+        """Close a connection that was taken and can't be used again."""
+        self._forget(address)
+        await connection.close()
+
+    def count_open(self) -> dict[str, int]:
+        """Return how many connections are open to each address, idle or in use."""
+        return dict(self._open)
 
     async def close_idle(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle.values():
+        for address, idle in list(self._idle.items()):
             while idle:
-                await idle.pop().close()
+                await self.discard(address, idle.pop())
+
+    async def _connect(self, address: str) -> ClientConnection:
+        self._open[address] += 1
+        stream = None
+        try:
+            with trio.move_on_after(self.connect_timeout):
+                stream = await self.connector(address)
+        finally:
+            if stream is None:
+                self._forget(address)
+        if stream is None:
+            raise ConnectFailedError(f"{address}: no connection in time")
+        return ClientConnection.from_stream(stream, address)
+
+    async def _sweep(self) -> None:
+        """Close what has been idle for too long, at addresses not used any more too."""
+        now = trio.current_time()
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + self.idle_timeout
+        for address, idle in list(self._idle.items()):
+            while idle and now - idle[0].idle_since > self.idle_timeout:
+                await self.discard(address, idle.pop(0))
+            if not idle:
+                self._idle.pop(address, None)
+
+    def _forget(self, address: str) -> None:
+        self._open[address] -= 1
+        if not self._open[address]:
+            del self._open[address]
+
+    def _is_usable(self, connection: ClientConnection) -> bool:
+        idle = trio.current_time() - connection.idle_since
+        limit = min(self.idle_timeout, connection.idle_limit)
+        return idle <= limit and connection.is_quiet
 
 
 async def request_whole(
@@ -270,7 +319,7 @@
         if is_whole:
             await pool.give_back(address, connection)
         else:
-            await connection.close()
+            await pool.discard(address, connection)
 
 
 def build_json_request(method: str, target: str, data: object) -> UpstreamRequest:
--- a/packages/geraniumhall-net/tests/test_client.py
+++ b/packages/geraniumhall-net/tests/test_client.py
@@ -104,3 +104,69 @@
                 await ClientPool(connector=hang).take(ADDRESS)
 
         run(test)
+
+
+class IdleConnectionsTest(unittest.TestCase):
+    """Idle connections are bounded by number and time."""
+
+    def count_open(
+        self, test: Callable[[ClientPool], Awaitable[None]]
+    ) -> dict[str, int]:
+        """Return the open connections by address after a test."""
+        counts: dict[str, int] = {}
+
+        async def connect(address: str) -> trio.abc.Stream:
+            near, far = trio.testing.memory_stream_pair()
+            answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na"
+            await far.send_all(answer)
+            return near
+
+        async def play() -> None:
+            pool = ClientPool(connector=connect)
+            await test(pool)
+            counts.update(pool.count_open())
+
+        run(play)
+        return counts
+
+    def test_idle_connection_makes_room(self) -> None:
+        """A request that needs a new connection closes an idle one at the limit."""
+
+        async def test(pool: ClientPool) -> None:
+            await request_whole(pool, ADDRESS, REQUEST, 5.0)
+            await pool.take(ADDRESS, reuse=False, limit=1)
+
+        self.assertEqual(self.count_open(test), {ADDRESS: 1})
+
+    def test_below_the_limit(self) -> None:
+        """Below the limit the idle connection stays."""
+
+        async def test(pool: ClientPool) -> None:
+            await request_whole(pool, ADDRESS, REQUEST, 5.0)
+            await pool.take(ADDRESS, reuse=False, limit=2)
+
+        self.assertEqual(self.count_open(test), {ADDRESS: 2})
+
+    def test_unused_address_is_swept(self) -> None:
+        """Connections to an address that is not used any more are closed."""
+
+        async def test(pool: ClientPool) -> None:
+            await request_whole(pool, ADDRESS, REQUEST, 5.0)
+            await trio.sleep(2 * pool.idle_timeout)
+            await pool.take("10.0.0.2:80")
+
+        self.assertEqual(self.count_open(test), {"10.0.0.2:80": 1})
+
+    def test_failed_connection_is_not_counted(self) -> None:
+        """A connection that was not made takes no place."""
+
+        async def hang(address: str) -> trio.abc.Stream:
+            await trio.sleep_forever()
+            raise AssertionError
+
+        async def test(pool: ClientPool) -> None:
+            pool.connector = hang
+            with self.assertRaises(ConnectFailedError):
+                await pool.take(ADDRESS)
+
+        self.assertEqual(self.count_open(test), {})
