Count other hosts' demand only when they count it themselves

Cause: when callers arrive, each host counted the others' higher demand at once and its own 4.5 s later, so all parts together were a quarter of a workspace's rate. The same happens after each change in who calls where.

Change: a reader keeps the history of a host's records and dates each one before the write, the host dates it after the confirmation, so a reader never counts less than the host itself and both change over within one reading of the records. Rates that were sent and not confirmed count where they are lower, since others may have read them. A restarted process begins with what the earlier one counted, not with what it last measured.

Ruled out: a larger floor for hosts without demand, which costs the busy ones for good.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -348,6 +348,7 @@
             LogField("workspace", record.workspace),
             LogField("server", placement.server),
             LogField("reads_ahead", placement.reads_ahead),
+            LogField("cost", round(record.cost)),
             LogField("prompt_tokens", record.request.prompt_tokens),
             LogField("unread_tokens", placement.unread_tokens),
             LogField("own_waiting", load.unread_tokens),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -70,11 +70,12 @@
         feed.failures = 0
         feed.recovered_at = event.at
         yield _log_feed("info", "feed_recovered", purpose.feed)
+    since = feed.confirmed_at
     feed.confirmed_at = max(feed.confirmed_at, event.asked_at)
     if feed.revision == 0 and purpose.feed is Feed.RECORDS:
         inherit_record(state, answer, event.at)
     feed.revision = max(feed.revision, answer.revision)
-    yield from _apply_answer(state, purpose.feed, answer, event.at)
+    yield from _apply_answer(state, purpose.feed, answer, event.at, since)
     if not state.has_buckets:
         tend_buckets(state, event.at)
     yield _ask(state, purpose.feed, _choose_pause(state, purpose.feed, event))
@@ -120,7 +121,7 @@
 
 
 def _apply_answer(
-    state: DaemonState, feed: Feed, answer: Listing | Changes, now: float
+    state: DaemonState, feed: Feed, answer: Listing | Changes, now: float, since: float
 ) -> Iterator[Effect]:
     changes = list(answer.objects if isinstance(answer, Listing) else answer.changes)
     if isinstance(answer, Listing):
@@ -129,7 +130,7 @@
     if feed is Feed.SERVERS:
         changes = _hold_lapsed(state, changes, now)
     if feed is Feed.RECORDS:
-        observe_hosts(state, changes, isinstance(answer, Listing), now)
+        observe_hosts(state, changes, isinstance(answer, Listing), now, since)
     yield from _apply_changes(state, changes)
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
@@ -7,6 +7,7 @@
 from geraniumhall_core.state import DaemonState
 
 OVERDRAFT_FRACTION = 0.5
+FOREIGN_DEMAND_SECONDS = 0.25
 
 
 def measure_cost(workspace: Workspace | None, request: CallerRequest) -> float:
@@ -106,9 +107,30 @@
     state: DaemonState, name: str, workspace: Workspace, now: float
 ) -> Share:
     known_after = state.policy.stale_after
-    own = state.publishing.demand.find_known(name, now, known_after)
-    told = state.foreign_demand.get(name, [])
-    silent = [0.0] * max(0, state.live_hosts - 1 - len(told))
-    fraction = compute_fraction(own, [*told, *silent])
+    own = state.publishing.count_demand(name, now, known_after)
+    others = _list_foreign(state, now).get(name, [])
+    silent = [0.0] * max(0, state.live_hosts - 1 - len(others))
+    fraction = compute_fraction(own, [*others, *silent])
     assert workspace.rate is not None
     return Share(workspace.rate * fraction, workspace.burst * fraction)
+
+
+def _list_foreign(state: DaemonState, now: float) -> dict[str, list[float]]:
+    """Return the other live hosts' demand by workspace.
+
+    It is gathered once in a while, as what they may count by the end of that
+    time.
+    """
+    foreign = state.foreign_demand
+    if now < foreign.valid_until:
+        return foreign.rates
+    foreign.valid_until = now + FOREIGN_DEMAND_SECONDS
+    foreign.rates = {}
+    known_after = state.policy.stale_after
+    for host in state.hosts.list_live(now, state.policy.host_silence).values():
+        for demand in host.record.demands:
+            counted = host.demand.find_counted(
+                demand.workspace, foreign.valid_until, known_after
+            )
+            foreign.rates.setdefault(demand.workspace, []).append(counted)
+    return foreign.rates
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/peers.py
@@ -31,7 +31,8 @@
     The sample keeps the messages of a large fleet bounded for each host.
     """
     live = state.hosts.list_live(now, state.policy.host_silence)
-    listening = {name: r.peer_address for name, r in live.items() if r.peer_address}
+    addresses = {name: known.record.peer_address for name, known in live.items()}
+    listening = {name: address for name, address in addresses.items() if address}
     seed = xxh64_intdigest(state.policy.host)
     ranked = sorted(listening, key=lambda name: xxh64_intdigest(name, seed=seed))
     return {name: listening[name] for name in ranked[:MAX_PEERS]}
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -43,10 +43,9 @@
     publishing.is_calling = True
     publishing.next_call_at = now + publishing_interval(state)
     publishing.sequence += 1
-    publishing.sent_rates = {
-        name: round(meter.read(now), 3) for name, meter in state.demand.items()
-    }
-    record = _describe_self(state, wall_time)
+    rates = {name: round(meter.read(now), 3) for name, meter in state.demand.items()}
+    record = _describe_self(state, rates, now, wall_time)
+    publishing.unsettled.append(rates)
     message = PutObject(_name_own(state), record, publishing.version)
     return CallPlatform(purpose=PublishHost(publishing.sequence), message=message)
 
@@ -65,8 +64,7 @@
         state.drain.pending_calls -= 1
     if isinstance(event.answer, Written):
         publishing.version = event.answer.version
-        known_after = state.policy.stale_after
-        publishing.demand.add(publishing.sent_rates, event.at, known_after)
+        publishing.settle(event.at, state.policy.stale_after)
     elif isinstance(event.answer, Conflict):
         current = event.answer.current
         publishing.version = current.version if current else 0
@@ -85,17 +83,17 @@
         if item.key == own and item.record is not DELETED:
             state.publishing.version = item.version
             state.usage.inherit(item.record.usage)
-            rates = {d.workspace: d.rate for d in item.record.demands}
-            known_after = state.policy.stale_after
-            state.publishing.demand.add(rates, now - known_after, known_after)
-            for name, rate in rates.items():
-                state.demand[name] = DemandMeter(rate, now)
+            _inherit_demand(state, item.record, now)
 
 
 def observe_hosts(
-    state: DaemonState, changes: list[VersionedRecord], is_listing: bool, now: float
+    state: DaemonState,
+    changes: list[VersionedRecord],
+    is_listing: bool,
+    now: float,
+    since: float,
 ) -> None:
-    """Take in the records of other hosts, and add up what they tell."""
+    """Take in the records of other hosts, which changed after `since`."""
     listed = set()
     for item in changes:
         if item.key.kind != HOST_KIND or item.key.name == state.policy.host:
@@ -104,26 +102,32 @@
             state.hosts.forget(item.key.name)
         else:
             listed.add(item.key.name)
-            state.hosts.observe(item.key.name, item.record, now)
+            known_after = state.policy.stale_after
+            state.hosts.observe(item.key.name, item.record, now, since, known_after)
     if is_listing:
         for name in set(state.hosts.known) - listed:
             state.hosts.forget(name)
-    refresh_foreign(state, now)
-
-
-def refresh_foreign(state: DaemonState, now: float) -> None:
-    """Gather the demand on the other live hosts, by workspace."""
-    live = state.hosts.list_live(now, state.policy.host_silence)
-    state.live_hosts = 1 + len(live)
-    state.foreign_demand = {}
-    for record in live.values():
-        for demand in record.demands:
-            rates = state.foreign_demand.setdefault(demand.workspace, [])
-            rates.append(demand.rate)
-
-
-def _describe_self(state: DaemonState, wall_time: float) -> HostRecord:
-    rates = state.publishing.sent_rates
+    state.live_hosts = 1 + len(state.hosts.list_live(now, state.policy.host_silence))
+    state.foreign_demand.valid_until = now
+
+
+def _inherit_demand(state: DaemonState, record: HostRecord, now: float) -> None:
+    """Count what the earlier process counted at once, and the rest later."""
+    known_after = state.policy.stale_after
+    history = state.publishing.demand
+    counted = {d.workspace: min(d.counted, d.rate) for d in record.demands}
+    history.add(counted, now - known_after, known_after)
+    rates = {d.workspace: d.rate for d in record.demands}
+    history.add(rates, now, known_after)
+    for name, rate in rates.items():
+        state.demand[name] = DemandMeter(rate, now)
+
+
+def _describe_self(
+    state: DaemonState, rates: dict[str, float], now: float, wall_time: float
+) -> HostRecord:
+    known_after = state.policy.stale_after
+    publishing = state.publishing
     return HostRecord(
         failure_domain=state.policy.failure_domain,
         incarnation=state.policy.incarnation,
@@ -132,7 +136,9 @@
         peer_address=state.policy.peer_address,
         is_leaving=state.is_draining,
         demands=tuple(
-            Demand(name, rate)
+            Demand(
+                name, rate, round(publishing.count_demand(name, now, known_after), 3)
+            )
             for name, rate in rates.items()
             if rate > MIN_PUBLISHED_DEMAND
         ),
--- a/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
@@ -7,16 +7,21 @@
 
 import attrs
 
+from geraniumhall_core.limits import DemandHistory
 from geraniumhall_core.records import RECORD_KINDS
 from geraniumhall_core.usage import WindowUsage
 
 
 @attrs.frozen
 class Demand:
-    """What callers of a workspace asked of a host, in its rate's unit a second."""
+    """What callers of a workspace asked of a host, in its rate's unit a second.
+
+    `counted` is the part of it that the host counted when it wrote this.
+    """
 
     workspace: str
     rate: float
+    counted: float = 0.0
 
 
 @RECORD_KINDS.register("host")
@@ -45,6 +50,7 @@
 
     record: HostRecord
     changed_at: float
+    demand: DemandHistory = attrs.field(factory=DemandHistory)
 
 
 @attrs.define
@@ -53,18 +59,33 @@
 
     known: dict[str, KnownHost] = attrs.field(factory=dict)
 
-    def observe(self, name: str, record: HostRecord, now: float) -> None:
-        """Take in a record that has just changed."""
-        self.known[name] = KnownHost(record, now)
+    def observe(
+        self,
+        name: str,
+        record: HostRecord,
+        now: float,
+        since: float = float("-inf"),
+        known_after: float = 0.0,
+    ) -> None:
+        """Take in a record that has changed, `since` seconds at the earliest."""
+        known = self.known.get(name)
+        rates = {demand.workspace: demand.rate for demand in record.demands}
+        if known is None:
+            known = KnownHost(record, now)
+            self.known[name] = known
+            since = float("-inf")
+        known.record = record
+        known.changed_at = now
+        known.demand.add(rates, since, known_after)
 
     def forget(self, name: str) -> None:
         """Drop a host whose record was removed."""
         self.known.pop(name, None)
 
-    def list_live(self, now: float, silence: float) -> dict[str, HostRecord]:
-        """Return the records that changed within `silence` seconds, by host."""
+    def list_live(self, now: float, silence: float) -> dict[str, KnownHost]:
+        """Return the hosts whose records changed within `silence` seconds."""
         return {
-            name: known.record
+            name: known
             for name, known in self.known.items()
             if now - known.changed_at <= silence and not known.record.is_leaving
         }
--- a/packages/geraniumhall-core/src/geraniumhall_core/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/limits.py
@@ -109,22 +109,28 @@
 
 @attrs.define
 class DemandHistory:
-    """What this host told the others lately, oldest first."""
+    """What a host told the others lately, oldest first.
+
+    Kept by the host of its own records and by each reader of the others'. The
+    host dates a record when the write was confirmed, and a reader dates it
+    before the write, so that a reader never counts less of another host than
+    that host counts of itself.
+    """
 
     entries: list[PublishedDemand] = attrs.field(factory=list)
 
-    def add(self, rates: dict[str, float], now: float, known_after: float) -> None:
-        """Note that the others can read these rates from now on.
+    def add(self, rates: dict[str, float], since: float, known_after: float) -> None:
+        """Note that the others can read these rates since then.
 
         Entries that were replaced more than `known_after` seconds ago say
         nothing any more.
         """
-        self.entries.append(PublishedDemand(now, rates))
-        while len(self.entries) > 1 and self.entries[1].since <= now - known_after:
+        self.entries.append(PublishedDemand(since, rates))
+        while len(self.entries) > 1 and self.entries[1].since <= since - known_after:
             del self.entries[0]
 
-    def find_known(self, workspace: str, now: float, known_after: float) -> float:
-        """Return the demand that every host takes into account by now.
+    def find_counted(self, workspace: str, now: float, known_after: float) -> float:
+        """Return the demand that the host counts of itself by now.
 
         A host that has not read what was published `known_after` seconds ago
         serves no keys, so a higher demand counts from then on; a lower one
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -55,17 +55,39 @@
 class PublishingState:
     """How this daemon tells the others of itself, and when it does so next.
 
-    `demand` is what it has told of its callers' demand, `sent_rates` what the
-    write under way tells.
+    `demand` is what it has told of its callers' demand; `unsettled` are the
+    rates, oldest first, of writes since then that may have taken effect.
     """
 
     demand: DemandHistory = attrs.field(factory=DemandHistory)
-    sent_rates: dict[str, float] = attrs.field(factory=dict)
+    unsettled: list[dict[str, float]] = attrs.field(factory=list)
     version: int = 0
     sequence: int = 0
     is_calling: bool = False
     next_call_at: float = float("-inf")
 
+    def count_demand(self, workspace: str, now: float, known_after: float) -> float:
+        """Return the demand that this host counts of itself by now."""
+        counted = self.demand.find_counted(workspace, now, known_after)
+        return min([counted, *(rates.get(workspace, 0.0) for rates in self.unsettled)])
+
+    def settle(self, now: float, known_after: float) -> None:
+        """Note that the last write took effect, and earlier ones may have."""
+        for rates in self.unsettled:
+            self.demand.add(rates, now, known_after)
+        self.unsettled.clear()
+
+
+@attrs.define
+class ForeignDemand:
+    """What the other live hosts count of their demand, by workspace.
+
+    Summed up for a while at a time, until `valid_until` seconds.
+    """
+
+    rates: dict[str, list[float]] = attrs.field(factory=dict)
+    valid_until: float = float("-inf")
+
 
 @attrs.define
 class LapsedServers:
@@ -123,7 +145,7 @@
     lapsed: LapsedServers = attrs.field(factory=LapsedServers)
     hosts: HostsView = attrs.field(factory=HostsView)
     publishing: PublishingState = attrs.field(factory=PublishingState)
-    foreign_demand: dict[str, list[float]] = attrs.field(factory=dict)
+    foreign_demand: ForeignDemand = attrs.field(factory=ForeignDemand)
     reports: ReportsView = attrs.field(factory=ReportsView)
     reporting: ReportingState = attrs.field(factory=ReportingState)
     live_hosts: int = 1
--- a/packages/geraniumhall-core/tests/test_limits.py
+++ b/packages/geraniumhall-core/tests/test_limits.py
@@ -13,6 +13,7 @@
     TokenBucket,
     compute_fraction,
 )
+from geraniumhall_core.state import PublishingState
 
 
 class TokenBucketTest(unittest.TestCase):
@@ -133,18 +134,18 @@
 
     def test_nothing_published_counts_nothing(self) -> None:
         """A host that told nothing has only the floor."""
-        self.assertEqual(DemandHistory().find_known("audit", 9.0, 3.0), 0.0)
+        self.assertEqual(DemandHistory().find_counted("audit", 9.0, 3.0), 0.0)
 
     def test_increase_counts_late(self) -> None:
         """A higher demand counts three seconds after it was told."""
         history = self.build(10.0, 10.0, 10.0, 10.0, 90.0)
-        self.assertEqual(history.find_known("audit", 6.9, 3.0), 10.0)
-        self.assertEqual(history.find_known("audit", 7.1, 3.0), 90.0)
+        self.assertEqual(history.find_counted("audit", 6.9, 3.0), 10.0)
+        self.assertEqual(history.find_counted("audit", 7.1, 3.0), 90.0)
 
     def test_decrease_counts_at_once(self) -> None:
         """A lower demand leaves the others their part at once."""
         history = self.build(90.0, 90.0, 90.0, 90.0, 10.0)
-        self.assertEqual(history.find_known("audit", 4.0, 3.0), 10.0)
+        self.assertEqual(history.find_counted("audit", 4.0, 3.0), 10.0)
 
     @seed(20261204)
     @given(st.lists(st.floats(0.0, 100.0), min_size=1, max_size=12))
@@ -152,7 +153,59 @@
         """What counts is at most what a reader up to three seconds late has."""
         history = self.build(*rates)
         now = float(len(rates) - 1)
-        counted = history.find_known("audit", now, 3.0)
+        counted = history.find_counted("audit", now, 3.0)
         for late in range(4):
             if now - late >= 0:
                 self.assertLessEqual(counted, rates[int(now - late)])
+
+
+class ReaderTest(unittest.TestCase):
+    """A reader never counts less of a host's demand than the host does."""
+
+    @seed(20261204)
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 100.0),
+                st.floats(0.0, 1.0),
+                st.floats(0.0, 1.0),
+                st.booleans(),
+            ),
+            min_size=2,
+            max_size=12,
+        ),
+        st.floats(0.1, 2.0),
+    )
+    def test_reader_counts_at_least_what_the_host_counts(
+        self, writes: list[tuple[float, float, float, bool]], read_every: float
+    ) -> None:
+        """That holds for late confirmations and readers that skip records."""
+        bound, tick = 3.0, 0.25
+        host = PublishingState()
+        reader = DemandHistory()
+        committed: list[tuple[float, float]] = []
+        confirmations: list[tuple[float, bool]] = []
+        for second, (rate, delay, reply, is_lost) in enumerate(writes):
+            committed.append((second + delay / 2, rate))
+            confirmations.append((second + delay / 2 + reply / 2, is_lost))
+        read_at, now, sent, settled, seen = 0.0, 0.0, 0, 0, -1
+        while now < len(writes) + bound + 1:
+            while sent < len(writes) and sent <= now:
+                host.unsettled.append({"audit": writes[sent][0]})
+                sent += 1
+            while settled < sent and confirmations[settled][0] <= now:
+                if not confirmations[settled][1]:
+                    host.settle(confirmations[settled][0], bound)
+                settled += 1
+            if now >= read_at + read_every:
+                done = [n for n, (at, _) in enumerate(committed) if at <= now]
+                if done and done[-1] != seen:
+                    since = read_at if seen >= 0 else float("-inf")
+                    seen = done[-1]
+                    reader.add({"audit": committed[seen][1]}, since, bound)
+                read_at = now
+            if seen >= 0:
+                own = host.count_demand("audit", now, bound)
+                told = reader.find_counted("audit", now, bound)
+                self.assertLessEqual(own, told + 1e-9)
+            now += tick
