Earn a part of the rates' tolerance steadily and let requests need their cost

Cause: a workspace over its limit got 34,000 of the 37,447 tokens a second that it may have, although up to 63,800 may run within the tolerance. Buckets stood at the end of their overdraft; any request ran as soon as one was above it, so one long prompt took a bucket 12,000 to 40,000 tokens down and every short request of the workspace was refused there for seconds.

Change: 0.4 of the tolerance is earned steadily, 0.35 is the overdraft. A request needs its cost, or a full bucket if it costs more than that holds, so short requests run where a long one must wait. Lenders give up to half of what they may spend, the overdraft included.

Ruled out: a larger overdraft, which is spent once and then changes nothing.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
@@ -86,7 +86,8 @@
     is_fresh = state.measure_catalogue_age(event.at) <= state.policy.stale_after
     if bucket is not None and is_fresh:
         bucket.accrue(event.at)
-        given = max(0.0, min(message.amount, bucket.tokens * SURPLUS_FRACTION))
+        surplus = (bucket.tokens + bucket.share.overdraft) * SURPLUS_FRACTION
+        given = max(0.0, min(message.amount, surplus))
         bucket.tokens -= given
     loan = Loan(
         host=state.policy.host,
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
@@ -6,7 +6,8 @@
 from geraniumhall_core.requests import CallerRequest, RequestRecord
 from geraniumhall_core.state import DaemonState
 
-OVERDRAFT_FRACTION = 0.5
+STEADY_FRACTION = 0.4
+OVERDRAFT_FRACTION = 0.35
 FOREIGN_DEMAND_SECONDS = 0.25
 
 
@@ -24,10 +25,6 @@
     """Take a request's cost from this host's share, or return a refusal.
 
     A request that is not new was counted in the demand before.
-
-    Requests differ widely in tokens, and hosts learn of each other's demand
-    late. Where tokens are counted, a bucket may therefore be overdrawn within
-    the tolerance that the platform grants; the debt is earned back first.
     """
     workspace = state.catalogue.workspaces.get(name)
     if workspace is None or workspace.rate is None:
@@ -35,12 +32,9 @@
     if is_new:
         state.demand.setdefault(name, DemandMeter()).add(cost, now)
     bucket = _tend_bucket(state, name, workspace, now)
-    needed = cost
-    if workspace.unit is RateUnit.TOKENS:
-        needed = -_find_overdraft(state, workspace, bucket)
-    if bucket.try_spend(cost, needed, now):
+    if bucket.try_spend(cost, now):
         return None
-    wait = bucket.seconds_until(needed)
+    wait = bucket.seconds_until(cost)
     refusal = RATE_EXCEEDED.because(
         f"the workspace {name!r} is over its rate: this host's share is"
         f" {bucket.share.rate:.0f} of {workspace.rate:.0f} a second, of which"
@@ -87,22 +81,6 @@
     return bucket
 
 
-def _find_overdraft(
-    state: DaemonState, workspace: Workspace, bucket: TokenBucket
-) -> float:
-    """Return how far a bucket may go below zero.
-
-    All hosts together use `OVERDRAFT_FRACTION` of the tolerance; the rest
-    covers a last request on each host and shares that overlap.
-    """
-    assert workspace.rate is not None
-    tolerance = state.policy.rate_tolerance
-    allowed = workspace.rate * tolerance.window + workspace.burst
-    total = allowed * tolerance.ratio + tolerance.slack
-    fraction = bucket.share.rate / workspace.rate if workspace.rate else 0.0
-    return total * fraction * OVERDRAFT_FRACTION
-
-
 def _compute_share(
     state: DaemonState, name: str, workspace: Workspace, now: float
 ) -> Share:
@@ -111,8 +89,24 @@
     others = _list_foreign(state, now).get(name, [])
     silent = [0.0] * max(0, state.live_hosts - 1 - len(others))
     fraction = compute_fraction(own, [*others, *silent])
+    return _limit_whole(state, workspace).take_part(fraction)
+
+
+def _limit_whole(state: DaemonState, workspace: Workspace) -> Share:
+    """Return the limit of all hosts together.
+
+    Requests differ widely in tokens, and hosts learn of each other's demand
+    late. Where tokens are counted, parts of the tolerance that the platform
+    grants are therefore earned steadily and as an overdraft.
+    """
     assert workspace.rate is not None
-    return Share(workspace.rate * fraction, workspace.burst * fraction)
+    rate, burst = workspace.rate, workspace.burst
+    tolerance = state.policy.rate_tolerance
+    if workspace.unit is not RateUnit.TOKENS or not tolerance.window:
+        return Share(rate, burst)
+    excess = tolerance.measure_excess(rate, burst)
+    steady = excess * STEADY_FRACTION / tolerance.window
+    return Share(rate + steady, burst, excess * OVERDRAFT_FRACTION)
 
 
 def _list_foreign(state: DaemonState, now: float) -> dict[str, list[float]]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/limits.py
@@ -14,10 +14,27 @@
 
 @attrs.frozen
 class Share:
-    """A host's part of a workspace's rate (a second) and burst."""
+    """A host's part of a workspace's rate (a second) and burst.
+
+    Where there is an `overdraft`, a bucket may go that far below zero, and a
+    request that costs more than burst and overdraft needs a full bucket.
+    """
 
     rate: float
     burst: float
+    overdraft: float = 0.0
+
+    def find_level(self, cost: float) -> float:
+        """Return what a bucket must hold for a request of this cost."""
+        if not self.overdraft:
+            return cost
+        return min(cost, self.burst + self.overdraft) - self.overdraft
+
+    def take_part(self, fraction: float) -> "Share":
+        """Return a fraction of it."""
+        return Share(
+            self.rate * fraction, self.burst * fraction, self.overdraft * fraction
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -32,6 +49,10 @@
     ratio: float = 0.0
     slack: float = 0.0
 
+    def measure_excess(self, rate: float, burst: float) -> float:
+        """Return the tokens that may run in excess within one window."""
+        return (rate * self.window + burst) * self.ratio + self.slack
+
 
 @attrs.define
 class TokenBucket:
@@ -52,27 +73,27 @@
         self.tokens = min(self.share.burst, earned)
         self.updated_at = max(self.updated_at, now)
 
-    def try_spend(self, amount: float, needed: float, now: float) -> bool:
-        """Spend `amount` tokens if `needed` are there and return True.
+    def try_spend(self, cost: float, now: float) -> bool:
+        """Spend a request's cost if the bucket's level allows and return True.
 
-        Otherwise the bucket stays as it is. A bucket that holds less than the
-        amount goes below zero and earns that back first.
+        Otherwise the bucket stays as it is.
         """
         self.accrue(now)
-        if self.tokens < needed:
+        if self.tokens < self.share.find_level(cost):
             return False
-        self.tokens -= amount
+        self.tokens -= cost
         return True
 
     def give_back(self, amount: float) -> None:
         """Return the tokens of a request that did not run."""
         self.tokens = min(self.share.burst, self.tokens + amount)
 
-    def seconds_until(self, needed: float) -> float | None:
-        """Return seconds until `needed` is there, or None if it never will be."""
-        if self.share.rate <= 0 or self.share.burst < needed:
+    def seconds_until(self, cost: float) -> float | None:
+        """Return seconds until a request can be paid, or None if it never can."""
+        level = self.share.find_level(cost)
+        if self.share.rate <= 0 or self.share.burst < level:
             return None
-        return max(0.0, (needed - self.tokens) / self.share.rate)
+        return max(0.0, (level - self.tokens) / self.share.rate)
 
     def resize(self, share: Share, now: float) -> None:
         """Change the share; what is above the new burst is lost."""
--- a/packages/geraniumhall-core/tests/test_limits.py
+++ b/packages/geraniumhall-core/tests/test_limits.py
@@ -21,7 +21,7 @@
 
     def test_starts_empty(self) -> None:
         """A new process holds nothing, whatever its predecessor spent."""
-        self.assertFalse(TokenBucket(Share(1.0, 5.0), 0.0).try_spend(1, 1, 0.0))
+        self.assertFalse(TokenBucket(Share(1.0, 5.0), 0.0).try_spend(1, 0.0))
 
     def test_clock_that_runs_back_earns_nothing(self) -> None:
         """Time that goes back adds no token."""
@@ -55,7 +55,7 @@
         spent: list[tuple[float, float]] = []
         for gap, amount in steps:
             now += gap
-            if bucket.try_spend(amount, amount, now):
+            if bucket.try_spend(amount, now):
                 spent.append((now, amount))
         for start, (began, _) in enumerate(spent):
             total = 0.0
@@ -74,21 +74,34 @@
     ) -> None:
         """Beyond rate and burst at most the overdraft and one request run."""
         rate, burst, overdraft, largest, now = 2.0, 5.0, 3.0, 20.0, 0.0
-        bucket = TokenBucket(Share(rate, burst), 0.0)
+        bucket = TokenBucket(Share(rate, burst, overdraft), 0.0)
         spent: list[tuple[float, float]] = []
         for gap, amount in steps:
             now += gap
-            if bucket.try_spend(amount, -overdraft, now):
+            if bucket.try_spend(amount, now):
                 spent.append((now, amount))
         for start, (began, _) in enumerate(spent):
             total = sum(amount for _, amount in spent[start:])
             allowed = burst + rate * (spent[-1][0] - began) + overdraft + largest
             self.assertLessEqual(total, allowed + 1e-6)
 
+    def test_small_requests_use_the_overdraft(self) -> None:
+        """Requests run until rate, burst and overdraft are used up."""
+        bucket = TokenBucket(Share(2.0, 5.0, 3.0), 0.0, 5.0)
+        taken = sum(bucket.try_spend(1.0, 0.0) for _ in range(20))
+        self.assertEqual(taken, 8)
+
+    def test_large_request_needs_a_full_bucket(self) -> None:
+        """What costs more than burst and overdraft runs from a full bucket."""
+        bucket = TokenBucket(Share(2.0, 5.0, 3.0), 0.0, 4.9)
+        self.assertFalse(bucket.try_spend(20.0, 0.0))
+        bucket.tokens = 5.0
+        self.assertTrue(bucket.try_spend(20.0, 0.0))
+
     def test_refused_request_gives_back(self) -> None:
         """What did not run does not count."""
         bucket = TokenBucket(Share(1.0, 5.0), 0.0, 5.0)
-        bucket.try_spend(4.0, 4.0, 0.0)
+        bucket.try_spend(4.0, 0.0)
         bucket.give_back(4.0)
         self.assertEqual(bucket.tokens, 5.0)
 
