Inherit the own record once, and serve on while a feed is listed again

Cause: after the store had lost its history a feed's revision went back to zero, which also meant that it had never been read. Until the listing came, every request was refused for want of a catalogue.

Change: a feed was read once it was confirmed once; only the first reading inherits.

Ruled out: counts lost with killed processes; no process had been killed when these windows were sealed, and the figures were too high.

Conclusion: one fault with two faces; tests fail without the change.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -70,10 +70,10 @@
         feed.failures = 0
         feed.recovered_at = event.at
         yield _log_feed("info", "feed_recovered", purpose.feed)
+    if purpose.feed is Feed.RECORDS and not feed.is_read:
+        inherit_record(state, answer, event.at)
     since = feed.confirmed_at
     feed.confirmed_at = max(feed.confirmed_at, event.asked_at)
-    if feed.revision == 0 and purpose.feed is Feed.RECORDS:
-        inherit_record(state, answer, event.at)
     feed.revision = max(feed.revision, answer.revision)
     yield from _apply_answer(state, purpose.feed, answer, event.at, since)
     if not state.has_buckets:
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -41,8 +41,9 @@
 class FeedState:
     """How far the copy of a feed is; times are in seconds.
 
-    `confirmed_at` is when the newest answer that confirmed the copy was asked
-    for, `recovered_at` when the first answer came after a failure.
+    A `revision` of zero asks for a listing. `confirmed_at` is when the newest
+    answer that confirmed the copy was asked for, `recovered_at` when the first
+    answer came after a failure.
     """
 
     revision: int = 0
@@ -50,6 +51,11 @@
     failures: int = 0
     recovered_at: float = float("-inf")
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the feed was read once."""
+        return self.confirmed_at != float("-inf")
+
 
 @attrs.define
 class PublishingState:
@@ -179,7 +185,7 @@
     @property
     def feeds_are_read(self) -> bool:
         """Whether every feed was read once."""
-        return all(feed.revision for feed in self.feeds.values())
+        return all(feed.is_read for feed in self.feeds.values())
 
     @property
     def has_catalogue(self) -> bool:
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -3,6 +3,7 @@
 import unittest
 
 from builders import (
+    build_arrival,
     build_listing,
     build_records,
     build_server,
@@ -13,8 +14,9 @@
 )
 
 from geraniumhall_core.catalogue import Workspace
-from geraniumhall_core.effects import CallPlatform
+from geraniumhall_core.effects import CallPlatform, RelayRequest
 from geraniumhall_core.events import Ticked
+from geraniumhall_core.hosts import HostRecord
 from geraniumhall_core.platform import (
     Changes,
     Feed,
@@ -27,6 +29,7 @@
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.state import DaemonState
+from geraniumhall_core.usage import UsageFigures, UsageLine, WindowUsage
 from geraniumhall_core.verdict import Verdict
 
 DOWN = PlatformFailure("down", Verdict.NOT_RUN)
@@ -81,6 +84,29 @@
         self.assertEqual(state.measure_catalogue_age(4.0), 0.0)
 
 
+class LostHistoryTest(unittest.TestCase):
+    """A platform that forgot the history is read again, and that is all."""
+
+    def test_requests_are_accepted_meanwhile(self) -> None:
+        """The copy serves while it is listed again."""
+        state = build_state()
+        follow(state, Feed.RECORDS, HistoryGone(), at=2.0)
+        find_effect(reduce(state, build_arrival()), RelayRequest)
+
+    def test_own_record_is_inherited_once(self) -> None:
+        """What this process has published is not counted a second time."""
+        state = build_state()
+        usage = WindowUsage(4, (UsageLine("audit", UsageFigures(7)),))
+        record = HostRecord(
+            failure_domain="a", incarnation=1, sequence=1, usage=(usage,)
+        )
+        state.usage.inherit((usage,))
+        listing = build_listing({**build_records(), ObjectKey("host", "h1"): record})
+        follow(state, Feed.RECORDS, HistoryGone(), at=2.0)
+        follow(state, Feed.RECORDS, listing, at=2.0)
+        self.assertEqual(state.usage.list_windows(), (usage,))
+
+
 class LapseTest(unittest.TestCase):
     """Entries of servers that lapsed with the store are kept for a while."""
 
