Let the last holder of the lease go on, and seal before repeating reports

Cause: windows came late after outages. A restarted holder waited for its own earlier process. The new holder then repeated all twelve sealed windows, a tenth of a second each, before it sealed what was due.

Change: the lease is also read from the records that every host watches. A host whose name it bears looks after it and need not wait: one daemon runs on a host at a time, and the term rises as with any holder. Reports go newest first, windows that are due come before repeats.

Ruled out: not repeating at all, since an earlier holder may have sealed a window and ended before its report.

Figures: the tests; three of them fail without the change. Conclusion: takeover without a wait where nobody else can be in charge.

--- a/packages/geraniumhall-bench/tests/test_authority.py
+++ b/packages/geraniumhall-bench/tests/test_authority.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from itertools import count
 from random import Random
+from unittest.mock import patch
 
 from histories import HISTORY_SETTINGS, NAMES, SEED, FaultRules
 from hypothesis import seed
@@ -178,6 +179,27 @@
             self.restart(hosts, self.find_holder(hosts))
         self.assertEqual(terms, sorted(set(terms)))
 
+    def test_restarted_holder_goes_on_at_once(self) -> None:
+        """No one else can be in charge, so its host need not wait."""
+        hosts = build_hosts()
+        holder = self.find_holder(hosts)
+        hosts.kill(holder)
+        hosts.start(holder, **POLICY)
+        hosts.run_for(TTL_SECONDS * 0.9)
+        self.assertEqual(self.find_holder(hosts), holder)
+
+    def test_holder_goes_on_after_an_outage(self) -> None:
+        """When the store is back, its last holder takes the lease again."""
+        hosts = build_hosts()
+        holder = self.find_holder(hosts)
+        for name in NAMES:
+            hosts.cut(name, PLATFORM_NAME)
+        hosts.run_for(2 * TTL_SECONDS)
+        hosts.heal()
+        with patch("geraniumhall_core.handlers.leases.CANDIDATES", 0):
+            hosts.run_for(TTL_SECONDS * 0.9)
+        self.assertEqual(self.find_holder(hosts), holder)
+
     def restart(self, hosts: VirtualHosts, host: str) -> None:
         """Kill a daemon, start it again and wait for a successor."""
         hosts.kill(host)
@@ -250,6 +272,25 @@
         hosts.run_for(30)
         self.assertEqual(count_reported(hosts), 5)
 
+    def test_new_windows_go_before_repeated_reports(self) -> None:
+        """A successor seals what is due before it repeats older reports."""
+        hosts = build_hosts()
+        self.begin_window(hosts)
+        hosts.run_for(40)
+        holder = list_holders(hosts)[0][0]
+        hosts.kill(holder)
+        for name in NAMES:
+            hosts.cut(name, PLATFORM_NAME)
+        hosts.run_for(12)
+        hosts.heal()
+        hosts.run_for(12)
+        successor = list_holders(hosts)[0][0]
+        mine = [r for r in list_reports(hosts) if r.host == successor]
+        known = {r.window for r in list_reports(hosts) if r.host == holder}
+        repeated = [index for index, r in enumerate(mine) if r.window in known]
+        sealed = [index for index, r in enumerate(mine) if r.window not in known]
+        self.assertLess(sealed[0], repeated[1])
+
     def test_restart_inherits_the_counts(self) -> None:
         """What a killed process had published is still in its host's window."""
         hosts = build_hosts()
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -16,6 +16,7 @@
 )
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import DaemonStarted, PlatformAnswered
+from geraniumhall_core.handlers.leases import observe_lease
 from geraniumhall_core.handlers.limits import tend_buckets
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.publishing import (
@@ -131,6 +132,7 @@
         changes = _hold_lapsed(state, changes, now)
     if feed is Feed.RECORDS:
         observe_hosts(state, changes, isinstance(answer, Listing), now, since)
+        observe_lease(state, changes, now)
     yield from _apply_changes(state, changes)
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -17,6 +17,7 @@
     Written,
 )
 from geraniumhall_core.purposes import LEASE_KEY, GiveUpLease, TendLease
+from geraniumhall_core.records import DELETED, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
@@ -42,11 +43,22 @@
     lease.next_call_at = now + state.policy.lease_ttl * CALL_FRACTION
     if find_term(state, now) is not None:
         yield _write_lease(state, lease.term, now)
-    elif _rank_self(state, now) < CANDIDATES and now >= lease.barred_until:
+    elif _is_candidate(state, now) and now >= lease.barred_until:
         lease.is_calling = True
         yield CallPlatform(purpose=TendLease(), message=GetObject(LEASE_KEY))
 
 
+def observe_lease(
+    state: DaemonState, changes: list[VersionedRecord], now: float
+) -> None:
+    """Take in a lease that came with other records, unless this host holds it."""
+    lease = state.lease
+    for item in changes:
+        is_news = item.key == LEASE_KEY and item.version > lease.version
+        if is_news and item.record is not DELETED and find_term(state, now) is None:
+            lease.observe(item, now)
+
+
 def resign_lease(state: DaemonState, now: float) -> Iterator[Effect]:
     """Act no more under this term, since a higher one was seen."""
     if find_term(state, now) is not None:
@@ -106,14 +118,22 @@
     policy = state.policy
     if (record.host, record.incarnation) == (policy.host, policy.incarnation):
         yield from _hold(state, lease.version, record)
-        is_free = find_term(state, now) is None
-    else:
-        waited = now - lease.first_seen_at
-        is_free = not record.host or waited >= policy.lease_ttl + policy.lease_margin
-    if is_free:
+    if find_term(state, now) is None and _is_free(state, record, now):
         yield _write_lease(state, record.term + 1, now)
 
 
+def _is_free(state: DaemonState, record: Lease, now: float) -> bool:
+    """Tell whether nobody can be in charge under a lease any more.
+
+    A host runs one daemon at a time, so a lease of this host is either an
+    earlier process's, or has run out.
+    """
+    if record.host in ("", state.policy.host):
+        return True
+    waited = now - state.lease.first_seen_at
+    return waited >= state.policy.lease_ttl + state.policy.lease_margin
+
+
 def _hold(state: DaemonState, version: int, record: Lease) -> Iterator[Effect]:
     lease = state.lease
     is_new = lease.term != record.term
@@ -140,6 +160,16 @@
     return state.policy.lease_ttl + state.policy.lease_margin
 
 
+def _is_candidate(state: DaemonState, now: float) -> bool:
+    """Tell whether this host looks after the lease.
+
+    Besides the best candidates the last holder does, which need not wait.
+    """
+    record = state.lease.record
+    is_last = record is not None and record.host == state.policy.host
+    return is_last or _rank_self(state, now) < CANDIDATES
+
+
 def _rank_self(state: DaemonState, now: float) -> int:
     """Return how many live hosts are better candidates, by rendezvous rank."""
     live = state.hosts.list_live(now, state.policy.host_silence)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
@@ -34,7 +34,11 @@
 
 
 def tend_usage(state: DaemonState, now: float, wall_time: float) -> Iterator[Effect]:
-    """Read the seals, report the oldest new one, or seal the next window."""
+    """Read the seals, report the newest one, seal the next window, or repeat.
+
+    What an earlier holder sealed may not have been reported, so it is reported
+    again once no window is due.
+    """
     sealing = state.sealing
     term = find_term(state, now)
     if term is None:
@@ -49,14 +53,9 @@
         return
     unreported = _find_unreported(sealing)
     due = _find_due_window(state, sealing.seals, wall_time)
-    if unreported is not None:
-        message = ReportUsage(
-            host=state.policy.host,
-            fencing_token=term,
-            window=unreported.window,
-            lines=unreported.lines,
-        )
-        yield _call(sealing, ReportWindow(unreported), message)
+    is_newest = bool(unreported) and unreported[0] is sealing.seals.windows[-1]
+    if unreported and (is_newest or due is None):
+        yield _report_window(state, unreported[0], term)
     elif due is not None:
         sealed = _add_up(state, due)
         put = PutObject(SEALS_KEY, sealing.seals.add(sealed), sealing.version)
@@ -126,10 +125,21 @@
     return LogField("window", window.window), LogField("requests", requests)
 
 
-def _find_unreported(sealing: SealingState) -> WindowUsage | None:
+def _find_unreported(sealing: SealingState) -> list[WindowUsage]:
+    """Return the sealed windows that this process has not reported, newest first."""
     assert sealing.seals is not None
-    pending = [w for w in sealing.seals.windows if w.window not in sealing.reported]
-    return pending[0] if pending else None
+    windows = reversed(sealing.seals.windows)
+    return [window for window in windows if window.window not in sealing.reported]
+
+
+def _report_window(state: DaemonState, window: WindowUsage, term: int) -> CallPlatform:
+    message = ReportUsage(
+        host=state.policy.host,
+        fencing_token=term,
+        window=window.window,
+        lines=window.lines,
+    )
+    return _call(state.sealing, ReportWindow(window), message)
 
 
 def _find_due_window(
