--- a/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
@@ -48,12 +48,13 @@
     """Fill up with reclaimable servers, and give regular ones back for them.
 
     A regular server goes only when a reclaimable one serves in its place, so
-    that the number that serves does not fall on the way. Where all reclaimable
-    ones were reclaimed, the minimum is ordered as regular ones again.
+    that the number that serves does not fall on the way.
     """
     if bounds.reclaimable_price is None:
         return None
-    missing = max(0, bounds.minimum - domain.reclaimable)
-    replaced = max(0, domain.regular - domain.reclaimable)
-    regular = max(missing, replaced)
-    return DomainTarget(regular=regular, reclaimable=bounds.maximum - regular)
+    room = bounds.maximum - bounds.minimum
+    regular = max(bounds.minimum, domain.regular)
+    if domain.reclaimable:
+        regular = max(bounds.minimum, domain.regular - domain.reclaimable)
+    reclaimable = min(room, bounds.maximum - regular)
+    return DomainTarget(regular=regular, reclaimable=reclaimable)
