Make control cheaper with many hosts

A host record had ten KB, mostly names of fields in lines of usage that were sealed long ago, and 79 hosts read 79 of them every 3 s. Each change of a server woke every host for a call of its own, hosts told up to 50 times a second what little they had changed, and every tick worked out all parts of all limits.

Change: lines of usage and demand are lists; sealed windows are published no more and six seals are kept. Many hosts confirm the configuration at 1.8 times the usual wait, read servers' changes together within 0.8 s and report work more rarely. Records are read at least that often too: beyond 66 hosts their pace had made a copy too old to be ready. Silence counts by the same pace; one place says which hosts are live. Loans are asked from 8 peers, others in each round. Limits are worked out anew four times a second.

Ruled out: fewer hosts in service; the platform uses all of them.

Conclusion: half of the way; what is left are reports between hosts.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
@@ -100,7 +100,7 @@
     state: DaemonState, event: AdminCalled, command: ReadMembers
 ) -> Iterator[Effect]:
     """List the other daemons as this one sees them."""
-    live = state.hosts.list_live(event.at, state.policy.host_silence)
+    live = state.list_live_hosts(event.at)
     statuses = tuple(
         MemberStatus(
             host=name,
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
@@ -16,6 +16,7 @@
 ROUND_SECONDS = 0.05
 IDLE_SECONDS = 0.2
 PARTS_ASKED = 3
+LENDERS_ASKED = 8
 
 
 def may_borrow(state: DaemonState, workspace: str, now: float) -> bool:
@@ -36,8 +37,8 @@
     if current is not None:
         current.waiting.append(request_id)
         return
-    peers = list_peers(state, now)
     borrowing.number += 1
+    peers = _choose_lenders(list_peers(state, now), borrowing.number)
     current = BorrowRound(borrowing.number, now + ROUND_SECONDS, [request_id])
     current.outstanding = set(peers)
     borrowing.rounds[record.workspace] = current
@@ -56,6 +57,14 @@
     )
 
 
+def _choose_lenders(peers: dict[str, str], number: int) -> dict[str, str]:
+    """Return some of the peers, others in each round."""
+    names = list(peers)
+    start = number * LENDERS_ASKED % len(names)
+    chosen = (names[start:] + names[:start])[:LENDERS_ASKED]
+    return {name: peers[name] for name in chosen}
+
+
 def expire_rounds(
     state: DaemonState, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -22,6 +22,7 @@
 from geraniumhall_core.handlers.publishing import (
     inherit_record,
     observe_hosts,
+    observe_seals,
     publishing_interval,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
@@ -43,6 +44,9 @@
 from geraniumhall_core.state import DaemonState, FeedState
 
 SERVERS_WAIT_FACTOR = 3.0
+CONFIRM_WAIT_FACTOR = 1.8
+SERVERS_PAUSE_SECONDS = 0.5
+SERVERS_MAX_PAUSE = 0.8
 KINDS_BY_FEED = {
     Feed.CONFIGURATION: (CONFIGURATION_KIND,),
     Feed.SERVERS: (REGISTERED_SERVER_KIND,),
@@ -133,6 +137,7 @@
     if feed is Feed.RECORDS:
         observe_hosts(state, changes, isinstance(answer, Listing), now, since)
         observe_lease(state, changes, now)
+        observe_seals(state, changes)
     yield from _apply_changes(state, changes)
 
 
@@ -180,10 +185,13 @@
 def _choose_wait(state: DaemonState, feed: Feed) -> float:
     """Return the seconds that a watch may wait.
 
-    Keys and limits must be confirmed again and again; the list of servers
-    must not, so its watch waits until a lost connection has to be noticed.
+    Keys and limits must be confirmed again and again, less often by many hosts;
+    the list of servers must not, so its watch waits until a lost connection
+    has to be noticed.
     """
-    factor = SERVERS_WAIT_FACTOR if feed is Feed.SERVERS else 1.0
+    factor = min(state.host_groups, CONFIRM_WAIT_FACTOR)
+    if feed is Feed.SERVERS:
+        factor = SERVERS_WAIT_FACTOR
     return state.policy.watch_wait * factor
 
 
@@ -191,11 +199,16 @@
     """Return the seconds before the next call.
 
     Host records change all the time, so they are read at the pace at which
-    they are written rather than one by one.
+    they are written rather than one by one. Servers often change together, and
+    a change is not worth a call of each of many hosts.
     """
-    if feed is not Feed.RECORDS:
-        return 0.0
-    return max(0.0, event.asked_at + publishing_interval(state) - event.at)
+    pause = 0.0
+    if feed is Feed.SERVERS:
+        pause = min((state.host_groups - 1) * SERVERS_PAUSE_SECONDS, SERVERS_MAX_PAUSE)
+    elif feed is Feed.RECORDS:
+        longest = state.policy.watch_wait * CONFIRM_WAIT_FACTOR
+        pause = min(publishing_interval(state), longest)
+    return max(0.0, event.asked_at + pause - event.at)
 
 
 def _find_version(state: DaemonState) -> int:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -172,7 +172,7 @@
 
 def _rank_self(state: DaemonState, now: float) -> int:
     """Return how many live hosts are better candidates, by rendezvous rank."""
-    live = state.hosts.list_live(now, state.policy.host_silence)
+    live = state.list_live_hosts(now)
     own = xxh64_intdigest(state.policy.host)
     return sum(xxh64_intdigest(name) > own for name in live)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
@@ -49,8 +49,10 @@
     The first buckets of a process start empty, so that a restart brings no
     second burst. A workspace that appears later is new on every host.
     """
-    if not state.feeds_are_read:
+    is_current = state.has_buckets and now < state.foreign_demand.valid_until
+    if is_current or not state.feeds_are_read:
         return
+    _list_foreign(state, now)
     for name, workspace in state.catalogue.workspaces.items():
         if workspace.rate is not None:
             _tend_bucket(state, name, workspace, now)
@@ -121,7 +123,7 @@
     foreign.valid_until = now + FOREIGN_DEMAND_SECONDS
     foreign.rates = {}
     known_after = state.policy.stale_after
-    for host in state.hosts.list_live(now, state.policy.host_silence).values():
+    for host in state.list_live_hosts(now).values():
         for demand in host.record.demands:
             counted = host.demand.find_counted(
                 demand.workspace, foreign.valid_until, known_after
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/peers.py
@@ -30,7 +30,7 @@
 
     The sample keeps the messages of a large fleet bounded for each host.
     """
-    live = state.hosts.list_live(now, state.policy.host_silence)
+    live = state.list_live_hosts(now)
     addresses = {name: known.record.peer_address for name, known in live.items()}
     listening = {name: address for name, address in addresses.items() if address}
     seed = xxh64_intdigest(state.policy.host)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -8,13 +8,12 @@
 from geraniumhall_core.hosts import Demand, HostRecord
 from geraniumhall_core.limits import DemandMeter
 from geraniumhall_core.platform import Changes, Conflict, Listing, PutObject, Written
-from geraniumhall_core.purposes import PublishHost
+from geraniumhall_core.purposes import SEALS_KEY, PublishHost
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
 HOST_KIND = "host"
-HOSTS_PER_INTERVAL = 40
 MIN_PUBLISHED_DEMAND = 0.01
 
 
@@ -23,8 +22,7 @@
 
     It grows with the hosts, so that all together write at a bounded rate.
     """
-    groups = max(1.0, state.live_hosts / HOSTS_PER_INTERVAL)
-    return state.policy.publish_interval * groups
+    return state.policy.publish_interval * state.host_groups
 
 
 def publish_host(state: DaemonState, now: float, wall_time: float) -> Iterator[Effect]:
@@ -86,6 +84,13 @@
             _inherit_demand(state, item.record, now)
 
 
+def observe_seals(state: DaemonState, changes: list[VersionedRecord]) -> None:
+    """Publish no more what is sealed."""
+    for item in changes:
+        if item.key == SEALS_KEY and item.record is not DELETED:
+            state.usage.note_sealed(item.record.last_window)
+
+
 def observe_hosts(
     state: DaemonState,
     changes: list[VersionedRecord],
@@ -107,7 +112,7 @@
     if is_listing:
         for name in set(state.hosts.known) - listed:
             state.hosts.forget(name)
-    state.live_hosts = 1 + len(state.hosts.list_live(now, state.policy.host_silence))
+    state.live_hosts = 1 + len(state.list_live_hosts(now))
     state.foreign_demand.valid_until = now
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
@@ -10,6 +10,7 @@
 from geraniumhall_core.state import DaemonState
 
 MIN_INTERVAL_SECONDS = 0.02
+HOSTS_AT_MIN_INTERVAL = 12
 MAX_INTERVAL_SECONDS = 0.5
 EXPIRY_SECONDS = 1.5
 
@@ -26,11 +27,13 @@
 def report_load(state: DaemonState, now: float) -> Iterator[Effect]:
     """Tell the peers of this host's work if it has changed.
 
-    A report is repeated after a while, in case the last one was lost.
+    A report is repeated after a while, in case the last one was lost. The more
+    hosts there are, the less one request matters, and the rarer are reports.
     """
     reporting = state.reporting
     age = now - reporting.sent_at
-    is_due = reporting.is_dirty and age >= MIN_INTERVAL_SECONDS
+    groups = max(1.0, state.live_hosts / HOSTS_AT_MIN_INTERVAL)
+    is_due = reporting.is_dirty and age >= MIN_INTERVAL_SECONDS * groups
     if not state.policy.peer_address or not (is_due or age >= MAX_INTERVAL_SECONDS):
         return
     reporting.sent_at = now
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -7,7 +7,7 @@
 from geraniumhall_core.catalogue import Catalogue
 from geraniumhall_core.fairness import EntryQueue
 from geraniumhall_core.fleet import NO_FOREIGN_WORK, ForeignWork, ServerLoad
-from geraniumhall_core.hosts import HostsView
+from geraniumhall_core.hosts import HostsView, KnownHost
 from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
 from geraniumhall_core.loans import BorrowingState
@@ -20,6 +20,7 @@
 from geraniumhall_core.retries import RetryBudget
 from geraniumhall_core.usage import UsageLedger, UsageSeals
 
+HOSTS_PER_INTERVAL = 40  # together they write a record 27 times a second
 CONNECTION_FRACTION = 0.8  # the rest is for hosts not heard of yet and released memory
 
 
@@ -192,6 +193,15 @@
         """Whether every feed was read and there is something to serve."""
         return self.feeds_are_read and bool(self.catalogue.entries)
 
+    @property
+    def host_groups(self) -> float:
+        """By what factor there are more hosts than call at the usual pace."""
+        return max(1.0, self.live_hosts / HOSTS_PER_INTERVAL)
+
+    def list_live_hosts(self, now: float) -> dict[str, KnownHost]:
+        """Return the other hosts whose records still change."""
+        return self.hosts.list_live(now, self.policy.host_silence * self.host_groups)
+
     def measure_catalogue_age(self, now: float) -> float:
         """Return the seconds since the store confirmed keys, limits and routes."""
         followed = (self.feeds[Feed.CONFIGURATION], self.feeds[Feed.RECORDS])
--- a/packages/geraniumhall-core/src/geraniumhall_core/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/usage.py
@@ -11,7 +11,7 @@
 from geraniumhall_core.records import RECORD_KINDS
 
 WINDOWS_KEPT = 6
-SEALS_KEPT = 12
+SEALS_KEPT = 6
 
 
 @attrs.frozen
@@ -71,10 +71,14 @@
 
 @attrs.define
 class UsageLedger:
-    """Counts of this process; `window_seconds` is a window's length."""
+    """Counts of this process; `window_seconds` is a window's length.
+
+    Counts of the windows up to `sealed` are of no use any more.
+    """
 
     window_seconds: float
     windows: dict[int, UsageTable] = attrs.field(factory=dict)
+    sealed: int = -1
 
     def find_window(self, wall_time: float) -> int:
         """Return the number of the window at a time since the epoch."""
@@ -94,6 +98,12 @@
             for line in window.lines:
                 self._add_to_window(window.window, line.workspace, line.figures)
 
+    def note_sealed(self, window: int) -> None:
+        """Forget the windows whose figures are final."""
+        self.sealed = max(self.sealed, window)
+        for number in [n for n in self.windows if n <= self.sealed]:
+            del self.windows[number]
+
     def list_windows(self) -> tuple[WindowUsage, ...]:
         """Return the latest windows, oldest first, and forget older ones."""
         for number in sorted(self.windows)[:-WINDOWS_KEPT]:
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
@@ -1,17 +1,30 @@
-"""Catalogue records as plain data, as the admin API and the store hold them."""
+"""Catalogue records as plain data, as the admin API and the store hold them.
+
+Hosts read each other's records all the time, so the lines of these are lists,
+without the zeros at their end.
+"""
 
 from typing import Any
 
+import attrs
+
+from geraniumhall_core.hosts import Demand
 from geraniumhall_core.records import RECORD_KINDS
 from geraniumhall_core.registry import UnknownEntryError
+from geraniumhall_core.usage import UsageFigures, UsageLine
 from geraniumhall_wire.converter import (
     Fault,
     InvalidDataError,
+    WrongTypeError,
     build_converter,
     structure,
 )
 
 CONVERTER = build_converter()
+CONVERTER.register_unstructure_hook(Demand, lambda item: list(attrs.astuple(item)))
+CONVERTER.register_unstructure_hook(UsageLine, lambda line: _encode_line(line))
+CONVERTER.register_structure_hook(Demand, lambda data, _: _decode_demand(data))
+CONVERTER.register_structure_hook(UsageLine, lambda data, _: _decode_line(data))
 
 
 def encode_record(record: Any) -> Any:
@@ -26,3 +39,34 @@
     except UnknownEntryError as error:
         raise InvalidDataError((Fault("$", str(error)),)) from error
     return structure(CONVERTER, data, record_class)
+
+
+def _encode_line(line: UsageLine) -> list[Any]:
+    figures = list(attrs.astuple(line.figures))
+    while figures and not figures[-1]:
+        figures.pop()
+    return [line.workspace, *figures]
+
+
+def _decode_line(data: Any) -> UsageLine:
+    workspace, *figures = _take_list(data)
+    return UsageLine(_take(workspace, str), UsageFigures(*_take_all(figures, int)))
+
+
+def _decode_demand(data: Any) -> Demand:
+    workspace, *rates = _take_list(data)
+    return Demand(_take(workspace, str), *_take_all(rates, float))
+
+
+def _take_list(data: Any) -> list[Any]:
+    if not isinstance(data, list) or not data:
+        raise WrongTypeError(f"expected a list that is not empty, got {data!r}")
+    return data
+
+
+def _take(value: Any, kind: type) -> Any:
+    return CONVERTER.structure(value, kind)
+
+
+def _take_all(values: list[Any], kind: type) -> list[Any]:
+    return [_take(value, kind) for value in values]
