Split the log lines and the accounting of requests from their attempts

Change: handlers/request_logs.py has the lines about a request, with one description of a refusal; handlers/accounting.py counts usage and charges.

--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/accounting.py
@@ -0,0 +1,40 @@
+"""Counts what requests use: for usage reports, metrics and fair shares."""
+
+from geraniumhall_core.events import AttemptEnded
+from geraniumhall_core.requests import RequestRecord
+from geraniumhall_core.state import DaemonState
+from geraniumhall_core.usage import UsageFigures
+from geraniumhall_core.verdict import Verdict
+
+
+def count_request(state: DaemonState, record: RequestRecord, wall_time: float) -> None:
+    """Count a request in the usage of the window in which it began to run."""
+    if not record.is_counted:
+        record.is_counted = True
+        state.usage.add(wall_time, record.workspace, UsageFigures(1))
+
+
+def count_tokens(
+    state: DaemonState, record: RequestRecord, event: AttemptEnded
+) -> None:
+    """Count the tokens of an attempt that ran or answered."""
+    if event.verdict is not Verdict.RAN and not record.response_started:
+        return
+    count_request(state, record, event.wall_time)
+    state.counters["tokens.prompt"] += event.prompt_tokens
+    state.counters["tokens.generated"] += event.generated_tokens
+    figures = UsageFigures(0, event.prompt_tokens, event.generated_tokens)
+    state.usage.add(event.wall_time, record.workspace, figures)
+    surplus = event.prompt_tokens - record.request.prompt_tokens
+    charge_service(state, record, max(0, surplus), event.generated_tokens)
+
+
+def charge_service(
+    state: DaemonState, record: RequestRecord, prefill: int, decode: int
+) -> None:
+    """Charge a workspace for tokens, in its share of the entry's queue."""
+    policy = state.policy
+    cost = prefill * policy.prefill_price + decode * policy.decode_price
+    workspace = state.catalogue.workspaces.get(record.workspace)
+    weight = workspace.weight if workspace else 1.0
+    state.find_queue(record.entry).charge(record.workspace, cost, weight)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from geraniumhall_core.catalogue import CatalogueEntry, ServiceClass
-from geraniumhall_core.effects import CloseExchange, LogField, RefuseRequest, WriteLog
+from geraniumhall_core.effects import CloseExchange, RefuseRequest
 from geraniumhall_core.events import CallerLeft, RequestArrived
 from geraniumhall_core.handlers.attempts import end_request, enqueue_request
 from geraniumhall_core.handlers.borrowing import (
@@ -14,6 +14,7 @@
 )
 from geraniumhall_core.handlers.limits import measure_cost, return_rate, spend_rate
 from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.handlers.request_logs import log_refusal
 from geraniumhall_core.keys import Proof
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import (
@@ -168,16 +169,5 @@
     state: DaemonState, event: RequestArrived, refusal: Refusal
 ) -> Iterator[Effect]:
     state.counters[f"requests.refused.{refusal.code}"] += 1
-    age = state.measure_catalogue_age(event.at)
-    yield WriteLog(
-        level="info",
-        event="request_refused",
-        fields=(
-            LogField("request", event.request.request_id),
-            LogField("caller_id", event.request.caller_id),
-            LogField("code", refusal.code),
-            LogField("reason", refusal.reason),
-            LogField("catalogue_age", round(age, 3)),
-        ),
-    )
+    yield log_refusal(state, event, refusal)
     yield RefuseRequest(request_id=event.request.request_id, refusal=refusal)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -11,9 +11,13 @@
     RefuseRequest,
     RelayRequest,
     ReleaseMemory,
-    WriteLog,
 )
 from geraniumhall_core.events import AttemptEnded, PromptRead, ResponseStarted
+from geraniumhall_core.handlers.accounting import (
+    charge_service,
+    count_request,
+    count_tokens,
+)
 from geraniumhall_core.handlers.limits import return_rate
 from geraniumhall_core.handlers.placement import (
     Placement,
@@ -23,6 +27,12 @@
 )
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.reports import report_load
+from geraniumhall_core.handlers.request_logs import (
+    log_attempt_failed,
+    log_failure,
+    log_placement,
+    log_progress,
+)
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import (
     DEADLINE_EXCEEDED,
@@ -32,7 +42,6 @@
 )
 from geraniumhall_core.requests import AttemptOutcome, Phase, RequestRecord
 from geraniumhall_core.state import DaemonState
-from geraniumhall_core.usage import UsageFigures
 from geraniumhall_core.verdict import Verdict
 
 SERVER_FAULTS = frozenset(
@@ -54,8 +63,8 @@
     if record is not None and record.attempt_id == event.attempt_id:
         record.response_started = True
         _finish_reading(state, record)
-        _count_request(state, record, event.wall_time)
-        yield _log_progress("answer_started", record, event.at)
+        count_request(state, record, event.wall_time)
+        yield log_progress("answer_started", record, event.at)
         yield from report_load(state, event.at)
 
 
@@ -70,7 +79,7 @@
     _leave_server(state, record, event.at, event.outcome)
     if event.outcome is AttemptOutcome.COMPLETED:
         record.memory = event.memory
-        yield _log_progress("prompt_read", record, event.at)
+        yield log_progress("prompt_read", record, event.at)
         yield from _start_generation(state, record, event.at)
     elif _may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
@@ -92,19 +101,19 @@
     _leave_server(state, record, event.at, event.outcome)
     if event.outcome is AttemptOutcome.COMPLETED:
         state.counters["requests.completed"] += 1
-        _count_tokens(state, record, event)
+        count_tokens(state, record, event)
         yield from _release_memory(record, event.verdict)
         end_request(state, record)
         pause = LogField("longest_pause", round(event.longest_pause, 3))
-        yield _log_progress("request_completed", record, event.at, pause)
+        yield log_progress("request_completed", record, event.at, pause)
         yield CloseExchange(request_id=event.request_id)
     elif _may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
-        yield _log_attempt_failed("info", record, event.outcome, event.reason)
+        yield log_attempt_failed("info", record, event.outcome, event.reason)
         yield from _release_memory(record, event.verdict)
         yield from _start_attempt(state, record, event.at, event.draws)
     else:
-        _count_tokens(state, record, event)
+        count_tokens(state, record, event)
         yield from _release_memory(record, event.verdict)
         yield from _fail_request(state, record, event.outcome, event.reason)
     yield from dispatch_waiting(state, record.entry, event.at, event.draws)
@@ -140,7 +149,7 @@
             return
         record = state.requests[request_id]
         queue.running += 1
-        _charge_service(state, record, record.request.prompt_tokens, 0)
+        charge_service(state, record, record.request.prompt_tokens, 0)
         yield from _start_attempt(state, record, now, draws)
 
 
@@ -170,19 +179,7 @@
     end_request(state, record)
     request_id = record.request.request_id
     refusal = refusal.with_verdict(record.verdict)
-    yield WriteLog(
-        level="info",
-        event="request_failed",
-        fields=(
-            LogField("request", request_id),
-            LogField("caller_id", record.request.caller_id),
-            LogField("entry", record.entry),
-            LogField("code", refusal.code),
-            LogField("reason", refusal.reason),
-            LogField("verdict", refusal.verdict.value),
-            LogField("attempts", record.attempts),
-        ),
-    )
+    yield log_failure(record, refusal)
     if record.response_started:
         yield AbortResponse(request_id=request_id, refusal=refusal)
     else:
@@ -202,7 +199,7 @@
         refusal = NO_SERVER.retry_in(RETRY_AFTER_SECONDS)
         yield from refuse_accepted(state, record, refusal)
         return
-    yield _log_placement(state, record, placement, now)
+    yield log_placement(state, record, placement, now)
     if placement.reads_ahead:
         record.phase = Phase.READING
         _enter_server(state, record, placement)
@@ -232,7 +229,7 @@
         refusal = NO_SERVER.retry_in(RETRY_AFTER_SECONDS)
         yield from refuse_accepted(state, record, refusal)
         return
-    yield _log_placement(state, record, placement, now)
+    yield log_placement(state, record, placement, now)
     yield _send_request(state, record, placement, now)
 
 
@@ -324,7 +321,7 @@
         end_request(state, record)
         yield CloseExchange(request_id=record.request.request_id)
         return
-    yield _log_attempt_failed("warning", record, outcome, reason)
+    yield log_attempt_failed("warning", record, outcome, reason)
     refusal = UPSTREAM_FAILED
     if record.verdict is Verdict.NOT_RUN:
         refusal = NO_SERVER.retry_in(RETRY_AFTER_SECONDS)
@@ -333,98 +330,8 @@
     yield from refuse_accepted(state, record, refusal)
 
 
-def _log_placement(
-    state: DaemonState, record: RequestRecord, placement: Placement, now: float
-) -> WriteLog:
-    load = state.find_load(placement.server)
-    foreign = state.find_foreign_work(placement.server)
-    return WriteLog(
-        level="info",
-        event="request_placed",
-        fields=(
-            LogField("request", record.request.request_id),
-            LogField("caller_id", record.request.caller_id),
-            LogField("entry", record.entry),
-            LogField("workspace", record.workspace),
-            LogField("server", placement.server),
-            LogField("reads_ahead", placement.reads_ahead),
-            LogField("cost", round(record.cost)),
-            LogField("prompt_tokens", record.request.prompt_tokens),
-            LogField("unread_tokens", placement.unread_tokens),
-            LogField("own_waiting", load.unread_tokens),
-            LogField("foreign_waiting", foreign.prompt_tokens),
-            LogField("running", load.outstanding + foreign.requests),
-            LogField("waited", round(now - record.arrived_at, 4)),
-            LogField("expected", round(placement.seconds, 4)),
-        ),
-    )
-
-
-def _log_progress(
-    event: str, record: RequestRecord, now: float, *more: LogField
-) -> WriteLog:
-    return WriteLog(
-        level="info",
-        event=event,
-        fields=(
-            LogField("request", record.request.request_id),
-            LogField("server", record.server),
-            LogField("seconds", round(now - record.arrived_at, 4)),
-            *more,
-        ),
-    )
-
-
-def _log_attempt_failed(
-    level: str, record: RequestRecord, outcome: AttemptOutcome, reason: str
-) -> WriteLog:
-    return WriteLog(
-        level=level,
-        event="attempt_failed",
-        fields=(
-            LogField("request", record.request.request_id),
-            LogField("attempt", record.attempts),
-            LogField("server", record.server),
-            LogField("outcome", outcome.value),
-            LogField("reason", reason),
-            LogField("verdict", record.verdict.value),
-        ),
-    )
-
-
 def _release_memory(record: RequestRecord, verdict: Verdict) -> Iterator[Effect]:
     """Free a prompt's KV cache that the last attempt certainly did not take."""
     memory, record.memory = record.memory, None
     if memory is not None and verdict is Verdict.NOT_RUN:
         yield ReleaseMemory(memory=memory)
-
-
-def _count_request(state: DaemonState, record: RequestRecord, wall_time: float) -> None:
-    """Count a request in the usage of the window in which it began to run."""
-    if not record.is_counted:
-        record.is_counted = True
-        state.usage.add(wall_time, record.workspace, UsageFigures(1))
-
-
-def _count_tokens(
-    state: DaemonState, record: RequestRecord, event: AttemptEnded
-) -> None:
-    if event.verdict is not Verdict.RAN and not record.response_started:
-        return
-    _count_request(state, record, event.wall_time)
-    state.counters["tokens.prompt"] += event.prompt_tokens
-    state.counters["tokens.generated"] += event.generated_tokens
-    figures = UsageFigures(0, event.prompt_tokens, event.generated_tokens)
-    state.usage.add(event.wall_time, record.workspace, figures)
-    surplus = event.prompt_tokens - record.request.prompt_tokens
-    _charge_service(state, record, max(0, surplus), event.generated_tokens)
-
-
-def _charge_service(
-    state: DaemonState, record: RequestRecord, prefill: int, decode: int
-) -> None:
-    policy = state.policy
-    cost = prefill * policy.prefill_price + decode * policy.decode_price
-    workspace = state.catalogue.workspaces.get(record.workspace)
-    weight = workspace.weight if workspace else 1.0
-    state.find_queue(record.entry).charge(record.workspace, cost, weight)
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -0,0 +1,107 @@
+"""Log lines about one request, with what decided and how it came out."""
+
+from geraniumhall_core.effects import LogField, WriteLog
+from geraniumhall_core.events import RequestArrived
+from geraniumhall_core.handlers.placement import Placement
+from geraniumhall_core.refusals import Refusal
+from geraniumhall_core.requests import AttemptOutcome, RequestRecord
+from geraniumhall_core.state import DaemonState
+
+
+def log_placement(
+    state: DaemonState, record: RequestRecord, placement: Placement, now: float
+) -> WriteLog:
+    """Tell where a request goes, and by what figures."""
+    load = state.find_load(placement.server)
+    foreign = state.find_foreign_work(placement.server)
+    return WriteLog(
+        level="info",
+        event="request_placed",
+        fields=(
+            LogField("request", record.request.request_id),
+            LogField("caller_id", record.request.caller_id),
+            LogField("entry", record.entry),
+            LogField("workspace", record.workspace),
+            LogField("server", placement.server),
+            LogField("reads_ahead", placement.reads_ahead),
+            LogField("cost", round(record.cost)),
+            LogField("prompt_tokens", record.request.prompt_tokens),
+            LogField("unread_tokens", placement.unread_tokens),
+            LogField("own_waiting", load.unread_tokens),
+            LogField("foreign_waiting", foreign.prompt_tokens),
+            LogField("running", load.outstanding + foreign.requests),
+            LogField("waited", round(now - record.arrived_at, 4)),
+            LogField("expected", round(placement.seconds, 4)),
+        ),
+    )
+
+
+def log_progress(
+    event: str, record: RequestRecord, now: float, *more: LogField
+) -> WriteLog:
+    """Tell how far a request is, and after how many seconds."""
+    return WriteLog(
+        level="info",
+        event=event,
+        fields=(
+            LogField("request", record.request.request_id),
+            LogField("server", record.server),
+            LogField("seconds", round(now - record.arrived_at, 4)),
+            *more,
+        ),
+    )
+
+
+def log_attempt_failed(
+    level: str, record: RequestRecord, outcome: AttemptOutcome, reason: str
+) -> WriteLog:
+    """Tell why an attempt failed, and whether it may have run."""
+    return WriteLog(
+        level=level,
+        event="attempt_failed",
+        fields=(
+            LogField("request", record.request.request_id),
+            LogField("attempt", record.attempts),
+            LogField("server", record.server),
+            LogField("outcome", outcome.value),
+            LogField("reason", reason),
+            LogField("verdict", record.verdict.value),
+        ),
+    )
+
+
+def log_refusal(
+    state: DaemonState, event: RequestArrived, refusal: Refusal
+) -> WriteLog:
+    """Tell why a request was not accepted, and how old the catalogue was."""
+    age = state.measure_catalogue_age(event.at)
+    return WriteLog(
+        level="info",
+        event="request_refused",
+        fields=(
+            LogField("request", event.request.request_id),
+            LogField("caller_id", event.request.caller_id),
+            *_describe_refusal(refusal),
+            LogField("catalogue_age", round(age, 3)),
+        ),
+    )
+
+
+def log_failure(record: RequestRecord, refusal: Refusal) -> WriteLog:
+    """Tell why an accepted request was refused or failed."""
+    return WriteLog(
+        level="info",
+        event="request_failed",
+        fields=(
+            LogField("request", record.request.request_id),
+            LogField("caller_id", record.request.caller_id),
+            LogField("entry", record.entry),
+            *_describe_refusal(refusal),
+            LogField("verdict", refusal.verdict.value),
+            LogField("attempts", record.attempts),
+        ),
+    )
+
+
+def _describe_refusal(refusal: Refusal) -> tuple[LogField, LogField]:
+    return LogField("code", refusal.code), LogField("reason", refusal.reason)
