Confirm copies as often with many hosts as with few

Cause: with 79 hosts the watch of the configuration waited 1.8 s.

A test works out the longest age for 1 to 590 hosts.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -23,7 +23,6 @@
     inherit_record,
     observe_hosts,
     observe_seals,
-    publishing_interval,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.platform import (
@@ -44,7 +43,6 @@
 from geraniumhall_core.state import DaemonState, FeedState
 
 SERVERS_WAIT_FACTOR = 3.0
-CONFIRM_WAIT_FACTOR = 1.8
 SERVERS_PAUSE_SECONDS = 0.5
 SERVERS_MAX_PAUSE = 0.8
 KINDS_BY_FEED = {
@@ -185,29 +183,25 @@
 def _choose_wait(state: DaemonState, feed: Feed) -> float:
     """Return the seconds that a watch may wait.
 
-    Keys and limits must be confirmed again and again, less often by many hosts;
-    the list of servers must not, so its watch waits until a lost connection
-    has to be noticed.
+    Keys and limits must be confirmed again and again; the list of servers
+    must not, so its watch waits until a lost connection has to be noticed.
     """
-    factor = min(state.host_groups, CONFIRM_WAIT_FACTOR)
-    if feed is Feed.SERVERS:
-        factor = SERVERS_WAIT_FACTOR
+    factor = SERVERS_WAIT_FACTOR if feed is Feed.SERVERS else 1.0
     return state.policy.watch_wait * factor
 
 
 def _choose_pause(state: DaemonState, feed: Feed, event: PlatformAnswered) -> float:
     """Return the seconds before the next call.
 
-    Host records change all the time, so they are read at the pace at which
-    they are written rather than one by one. Servers often change together, and
+    Host records change all the time, so they are read together rather than one
+    by one, and often enough for a copy that is ready. Servers often change together, and
     a change is not worth a call of each of many hosts.
     """
     pause = 0.0
     if feed is Feed.SERVERS:
         pause = min((state.host_groups - 1) * SERVERS_PAUSE_SECONDS, SERVERS_MAX_PAUSE)
     elif feed is Feed.RECORDS:
-        longest = state.policy.watch_wait * CONFIRM_WAIT_FACTOR
-        pause = min(publishing_interval(state), longest)
+        pause = state.policy.publish_interval
     return max(0.0, event.asked_at + pause - event.at)
 
 
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -84,6 +84,38 @@
         self.assertEqual(state.measure_catalogue_age(4.0), 0.0)
 
 
+class PaceTest(unittest.TestCase):
+    """However many hosts there are, a copy stays ready."""
+
+    def measure_longest_age(self, feed: Feed, hosts: int) -> float:
+        """Return the age of a copy just before the platform confirms it again.
+
+        A watch that nothing happens in confirms the time at which it was sent.
+        """
+        state = build_state()
+        state.live_hosts = hosts
+        call = find_effect(follow(state, feed, Changes(120, ())), CallPlatform)
+        wait = call.message.wait
+        return max(call.delay, wait) + wait
+
+    def test_copies_are_confirmed_in_time(self) -> None:
+        """Both feeds that count are confirmed before a host is unready."""
+        for feed in (Feed.CONFIGURATION, Feed.RECORDS):
+            for hosts in (1, 9, 79, 590):
+                with self.subTest(feed=feed, hosts=hosts):
+                    age = self.measure_longest_age(feed, hosts)
+                    self.assertLessEqual(age, build_state().policy.unready_after)
+
+    def test_many_hosts_read_changes_of_servers_together(self) -> None:
+        """With 79 hosts the next reading waits, with nine it does not."""
+        for hosts, waits in ((9, False), (79, True)):
+            state = build_state()
+            state.live_hosts = hosts
+            effects = follow(state, Feed.SERVERS, Changes(120, ()))
+            delay = find_effect(effects, CallPlatform).delay
+            self.assertEqual(delay > 0, waits)
+
+
 class LostHistoryTest(unittest.TestCase):
     """A platform that forgot the history is read again, and that is all."""
 
