--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -194,8 +194,8 @@
     """Return the seconds before the next call.
 
     Host records change all the time, so they are read together rather than one
-    by one, and often enough for a copy that is ready. Servers often change together, and
-    a change is not worth a call of each of many hosts.
+    by one, and often enough for a copy that is ready. Servers often change
+    together, and a change is not worth a call of each of many hosts.
     """
     pause = 0.0
     if feed is Feed.SERVERS:
