--- a/packages/geraniumhall-core/tests/test_admission.py
+++ b/packages/geraniumhall-core/tests/test_admission.py
@@ -135,6 +135,23 @@
             find_effect(reduce(state, build_arrival(f"r{number}")), RelayRequest)
 
 
+class DeadlineTest(unittest.TestCase):
+    """A request ends at its own deadline or its entry's, whichever is first."""
+
+    def measure_timeout(self, timeout: float | None) -> float:
+        """Return the seconds that an attempt may take."""
+        state = build_state(limits=EntryLimits(deadline=10.0))
+        return find_effect(
+            reduce(state, build_arrival(timeout=timeout)), RelayRequest
+        ).timeout
+
+    def test_earlier_deadline_counts(self) -> None:
+        """Neither makes the other longer."""
+        for asked, allowed in ((None, 10.0), (4.0, 4.0), (60.0, 10.0)):
+            with self.subTest(asked=asked):
+                self.assertEqual(self.measure_timeout(asked), allowed)
+
+
 class QueueTest(unittest.TestCase):
     """Queues are bounded, and waiting requests can leave."""
 
--- a/packages/geraniumhall-daemon/tests/test_reloads.py
+++ b/packages/geraniumhall-daemon/tests/test_reloads.py
@@ -1,11 +1,15 @@
 """Tests of settings that change while the daemon runs."""
 
+import signal
 import tempfile
 import unittest
 from pathlib import Path
 
+import trio
+import trio.testing
 from session import SETTINGS, Session, build_chat, run_session
 
+from geraniumhall_daemon.main import watch_signals
 from geraniumhall_daemon.reloads import SettingsFile
 
 
@@ -38,6 +42,23 @@
 
         run_session(test)
 
+    def test_signal_reads_the_settings_again(self) -> None:
+        """SIGHUP ends no process; the settings are in force afterwards."""
+
+        async def test(session: Session) -> None:
+            assert session.daemon is not None
+            self.reload(session, SETTINGS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch_signals, session.daemon, self.file)
+                await trio.testing.wait_all_tasks_blocked()
+                self.path.write_text(SETTINGS + "retries: {max_attempts: 7}\n")
+                signal.raise_signal(signal.SIGHUP)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(session.daemon.state.policy.max_attempts, 7)
+
+        run_session(test)
+
     def test_faulty_settings_change_nothing(self) -> None:
         """A faulty file is logged, and the daemon goes on as before."""
 
