Tell a request's story from a log

Cause: an on-call engineer had to find and read the lines of a request one by one. Change: geraniumhall explain LOG ID puts them into words, in order, with what the host noted meanwhile; narrators are registered by event.

--- a/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -19,6 +19,7 @@
     find_scenario,
 )
 from geraniumhall_cli.client import AdminResponse, call_admin
+from geraniumhall_cli.explanations import explain_request
 from geraniumhall_cli.output import EXIT_REFUSED, EXIT_USAGE, fail, print_result
 from geraniumhall_wire.description import describe
 from geraniumhall_wire.settings import Settings, SettingsError
@@ -202,6 +203,17 @@
             sys.exit(EXIT_USAGE)
         BENCHMARKS.find(name)()
 
+    def explain(self, log: str, request: str) -> None:
+        """Tell a request's story from a log file, or from standard input (-).
+
+        REQUEST is the caller's id or the daemon's.
+        """
+        story = explain_request(_read_file(log).splitlines(), str(request))
+        if not story:
+            print(f"{log}: no line names the request {request!r}", file=sys.stderr)
+            sys.exit(EXIT_REFUSED)
+        print_result([attrs.asdict(line) for line in story], self._target.json)
+
     def dump(self) -> None:
         """Print the daemon's whole state as JSON."""
         print(dumps(self._target.call("GET", "/admin/v1/dump").data, indent=2))
--- /dev/null
+++ b/packages/geraniumhall-cli/tests/test_explanations.py
@@ -0,0 +1,78 @@
+"""Tests of stories told from logs."""
+
+import unittest
+from json import dumps
+from typing import Any
+
+from geraniumhall_cli.explanations import explain_request
+
+
+def build_line(second: float, event: str, host: str = "h1", **fields: Any) -> str:
+    """Return a line of a daemon's log."""
+    time = f"2026-12-04T10:00:{second:06.3f}+00:00"
+    return dumps({"time": time, "level": "info", "event": event, "host": host} | fields)
+
+
+FAILED = build_line(
+    10.5,
+    "attempt_failed",
+    request="h1-7",
+    attempt=1,
+    server="e1",
+    outcome="broken",
+    reason="reset",
+    verdict="may_have_run",
+)
+GIVEN_UP = build_line(
+    10.6,
+    "request_failed",
+    request="h1-7",
+    caller_id="c3f0",
+    entry="draft",
+    code="upstream_failed",
+    reason="the backend server failed",
+    verdict="may_have_run",
+    attempts=1,
+)
+
+
+class StoryTest(unittest.TestCase):
+    """The lines of one request are put into words, in their order."""
+
+    def test_lines_come_in_order(self) -> None:
+        """Whatever the order in the log, the story goes by time."""
+        story = explain_request([GIVEN_UP, FAILED], "c3f0")
+        self.assertEqual([line.after for line in story], [0.0, 0.1])
+        self.assertIn("attempt 1 at e1 ended, broken: reset", story[0].story)
+
+    def test_daemons_id_is_enough(self) -> None:
+        """The daemon's own id finds the same story."""
+        lines = [FAILED, GIVEN_UP]
+        self.assertEqual(explain_request(lines, "h1-7"), explain_request(lines, "c3f0"))
+
+    def test_what_the_host_noted_meanwhile(self) -> None:
+        """A lost feed of the same host is told, one of another host is not."""
+        lost = {"feed": "servers", "reason": "no answer"}
+        lines = [
+            build_line(9.0, "feed_lost", **lost),
+            build_line(9.1, "feed_lost", host="h2", **lost),
+            FAILED,
+            GIVEN_UP,
+        ]
+        story = explain_request(lines, "c3f0")
+        self.assertEqual([line.host for line in story], ["h1", "h1", "h1"])
+        self.assertIn("could not be followed: no answer", story[0].story)
+
+    def test_unknown_request(self) -> None:
+        """A request that no line names has no story."""
+        self.assertEqual(explain_request([FAILED], "other"), [])
+
+    def test_other_lines_are_passed_over(self) -> None:
+        """Text before a line does no harm, nor do lines that are no records."""
+        lines = ["starting", "{", '{"a": 1}', f"10.5 h1 {FAILED}"]
+        self.assertEqual(len(explain_request(lines, "h1-7")), 1)
+
+    def test_event_without_narrator(self) -> None:
+        """An event that nobody narrates is told by its fields."""
+        line = build_line(1.0, "request_paused", request="h1-7", server="e1")
+        self.assertEqual(explain_request([line], "h1-7")[0].story, "server e1")
