Add a soak: real processes under random faults from outside

Change: geraniumhall soak draws a plan of faults from a seed (signals, links that delay, reset, fall silent or carry one way, a store and servers that misbehave, changed keys) and runs three daemons, a store, two engines and a service under it, with callers that keep their connections. A witness, one reducer over what callers and servers saw, checks runs, refusals, texts, cuts, keys, reports and recovery.

Left out: clocks that jump, since a process's clock can't be set from outside without privileges; storage, since nothing is stored on hosts.

--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/callers.py
@@ -0,0 +1,156 @@
+"""Callers that keep their connections until the process is gone."""
+
+from itertools import count
+from json import JSONDecodeError, loads
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import trio
+
+from geraniumhall_bench.soak.checks import MODEL_TOKENS
+from geraniumhall_bench.soak.witness import AnswerCame, CallKind, CallSent
+from geraniumhall_net.client import (
+    ClientConnection,
+    ConnectFailedError,
+    ExchangeFailedError,
+    build_json_request,
+)
+from geraniumhall_wire.heads import UpstreamRequest
+
+if TYPE_CHECKING:
+    from geraniumhall_bench.soak.run import Soak
+
+CALL_TIMEOUT_SECONDS = 6.0
+PAUSE_SECONDS = 0.12
+OK = 200
+
+
+@attrs.define(eq=False)
+class Caller:
+    """One caller: calls one after the other until the soak is over."""
+
+    soak: "Soak"
+    name: str
+    random: Random
+    _ids: count = attrs.field(factory=lambda: count(1), init=False)
+
+    async def run(self) -> None:
+        """Make calls at any daemon."""
+        while not self.soak.is_over:
+            daemon = self.random.choice(sorted(self.soak.addresses))
+            await self._call(f"{self.name}-{next(self._ids)}.", daemon)
+            await trio.sleep(self.random.uniform(0.0, 2 * PAUSE_SECONDS))
+
+    async def _call(self, name: str, daemon: str) -> None:
+        kind = self.random.choice(list(CallKind))
+        key = self.soak.choose_key(self.random)
+        self.soak.tell(
+            CallSent(
+                at=trio.current_time(),
+                name=name,
+                kind=kind,
+                daemon=daemon,
+                key_ended=self.soak.has_key_ended(key),
+            )
+        )
+        answer = AnswerCame(at=0.0, name=name, status=0, is_whole=False)
+        with trio.move_on_after(CALL_TIMEOUT_SECONDS):
+            answer = await self._exchange(name, kind, daemon, key)
+        self.soak.tell(attrs.evolve(answer, at=trio.current_time()))
+
+    async def _exchange(
+        self, name: str, kind: CallKind, daemon: str, key: str
+    ) -> AnswerCame:
+        address = self.soak.addresses[daemon]
+        failed = AnswerCame(at=0.0, name=name, status=0, is_whole=False)
+        try:
+            connection = await self.soak.pool.take(address)
+        except ConnectFailedError:
+            return failed
+        reading = Reading()
+        try:
+            await connection.send_request(_build_call(name, kind, key))
+            await reading.read(connection)
+        except ExchangeFailedError:
+            return attrs.evolve(failed, status=reading.status)
+        finally:
+            if reading.is_whole:
+                await self.soak.pool.give_back(address, connection)
+            else:
+                await self.soak.pool.discard(address, connection)
+        return reading.describe(name, kind)
+
+
+@attrs.define
+class Reading:
+    """An answer as far as it was read."""
+
+    status: int = 0
+    body: bytes = b""
+    is_whole: bool = False
+
+    async def read(self, connection: ClientConnection) -> None:
+        """Read an answer to its end."""
+        head = await connection.read_head()
+        self.status = head.status
+        while (chunk := await connection.read_chunk()) is not None:
+            self.body += chunk
+        self.is_whole = True
+
+    def describe(self, name: str, kind: CallKind) -> AnswerCame:
+        """Return what a caller makes of the answer.
+
+        A stream that says in its last event that it failed is not whole.
+        """
+        text, verdict = "", ""
+        is_whole = self.is_whole
+        if self.status != OK:
+            verdict = str(_read_json(self.body).get("error", {}).get("verdict", ""))
+        elif kind is CallKind.MODEL:
+            text = _join_events(self.body)
+            is_whole = is_whole and b"data: [DONE]" in self.body
+        else:
+            text = str(_read_json(self.body).get("submission"))
+        return AnswerCame(
+            at=0.0,
+            name=name,
+            status=self.status,
+            is_whole=is_whole,
+            text=text,
+            verdict=verdict,
+        )
+
+
+def _build_call(name: str, kind: CallKind, key: str) -> UpstreamRequest:
+    path = "/filings"
+    data: dict[str, Any] = {"id": name}
+    if kind is CallKind.MODEL:
+        path = "/v1/chat/completions"
+        message = {"role": "user", "content": name}
+        data = {
+            "model": kind.value,
+            "stream": True,
+            "max_tokens": MODEL_TOKENS,
+            "messages": [message],
+        }
+    request = build_json_request("POST", path, data)
+    bearer = (b"authorization", f"Bearer {key}".encode())
+    return attrs.evolve(request, headers=(*request.headers, bearer))
+
+
+def _read_json(body: bytes) -> dict[str, Any]:
+    try:
+        data = loads(body)
+    except JSONDecodeError:
+        return {}
+    return data if isinstance(data, dict) else {}
+
+
+def _join_events(body: bytes) -> str:
+    texts = []
+    for line in body.split(b"\n"):
+        event = _read_json(line.removeprefix(b"data: "))
+        for choice in event.get("choices", ()):
+            texts.append(choice["delta"]["content"])
+    return "".join(texts)
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/links.py
@@ -0,0 +1,107 @@
+"""A loopback proxy whose connections misbehave as they are told."""
+
+import socket
+import struct
+from enum import Enum
+
+import attrs
+import trio
+
+RECEIVE_BYTES = 65536
+BACKLOG = 128
+DELAY_SECONDS = 0.4
+
+
+class LinkState(Enum):
+    """How a link treats what passes over it."""
+
+    OPEN = "open"
+    DELAYED = "delayed"
+    ONE_WAY = "one way"
+    SILENT = "silent"
+    REFUSING = "refusing"
+
+
+@attrs.define(eq=False)
+class Link:
+    """A proxy before one address.
+
+    Silent links keep what they are sent and pass it on once they are open
+    again; those that carry one way hold back the answers.
+    """
+
+    target: str
+    listener: trio.SocketListener
+    nursery: trio.Nursery
+    state: LinkState = LinkState.OPEN
+    _streams: set[trio.SocketStream] = attrs.field(factory=set, init=False)
+    _changed: trio.Event = attrs.field(factory=trio.Event, init=False)
+
+    @classmethod
+    async def open(cls, target: str, nursery: trio.Nursery) -> "Link":
+        """Return a link that listens on a free port."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1", backlog=BACKLOG)
+        link = cls(target, listeners[0], nursery)
+        nursery.start_soon(link._serve)
+        return link
+
+    @property
+    def address(self) -> str:
+        """Where the link listens."""
+        host, port = self.listener.socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def change(self, state: LinkState) -> None:
+        """Treat what passes from now on in another way."""
+        self.state = state
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        linger = struct.pack("ii", 1, 0)
+        for stream in list(self._streams):
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.socket.close()
+        self._streams.clear()
+
+    async def _serve(self) -> None:
+        while True:
+            stream = await self.listener.accept()
+            if self.state is LinkState.REFUSING:
+                await trio.aclose_forcefully(stream)
+            else:
+                self.nursery.start_soon(self._connect, stream)
+
+    async def _connect(self, near: trio.SocketStream) -> None:
+        host, port = self.target.split(":")
+        try:
+            far = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await trio.aclose_forcefully(near)
+            return
+        self._streams |= {near, far}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._carry, near, far, False)
+            nursery.start_soon(self._carry, far, near, True)
+        self._streams -= {near, far}
+
+    async def _carry(
+        self, source: trio.SocketStream, sink: trio.SocketStream, is_answer: bool
+    ) -> None:
+        try:
+            while data := await source.receive_some(RECEIVE_BYTES):
+                await self._hold_back(is_answer)
+                await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        await trio.aclose_forcefully(source)
+        await trio.aclose_forcefully(sink)
+
+    async def _hold_back(self, is_answer: bool) -> None:
+        if self.state is LinkState.DELAYED:
+            await trio.sleep(DELAY_SECONDS)
+        while self.state is LinkState.SILENT or (
+            self.state is LinkState.ONE_WAY and is_answer
+        ):
+            await self._changed.wait()
--- /dev/null
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/run.py
@@ -0,0 +1,289 @@
+"""Runs one soak: starts the processes, carries the plan out, reads the logs."""
+
+import signal
+import socket
+import sys
+from json import loads
+from random import Random
+from re import compile as compile_pattern
+from typing import Any
+
+import attrs
+import trio
+
+from geraniumhall_bench.processes import (
+    ManagedProcess,
+    ProcessFailedError,
+    ProcessGroup,
+)
+from geraniumhall_bench.scenario import ExpectationError, World
+from geraniumhall_bench.soak.callers import Caller
+from geraniumhall_bench.soak.faults import FAULTS, FaultStep, draw_plan
+from geraniumhall_bench.soak.links import Link
+from geraniumhall_bench.soak.witness import (
+    WITNESS,
+    FaultBegan,
+    FaultEnded,
+    ReportFinding,
+    ServerCalled,
+    SoakEnded,
+    UsageReported,
+    WitnessState,
+)
+from geraniumhall_bench.steps.catalogue import IssueKey, PutRecord, WithdrawKey
+from geraniumhall_core.reducer import Event
+from geraniumhall_net.client import ClientPool, build_json_request, request_whole
+
+DAEMONS = ("riga-1", "riga-2", "riga-3")
+ENGINES = ("engine-1", "engine-2")
+SERVICE = "filing-1"
+PLATFORM = "platform"
+WORKSPACE = "audit"
+CALLERS = 6
+CALM_SECONDS = 6.0
+RECOVERY_SECONDS = 4.0
+CONTROL_TIMEOUT_SECONDS = 10.0
+REVOCATION_SECONDS = 3.0
+CALL_NAME = compile_pattern(r"c\d+-\d+\.")
+
+
+@attrs.frozen(kw_only=True)
+class SoakResult:
+    """How a soak went; `plan` tells what a finding may come from."""
+
+    seed: int
+    calls: int
+    served: int
+    plan: tuple[FaultStep, ...]
+    findings: tuple[ReportFinding, ...]
+
+
+@attrs.define(eq=False)
+class Soak:
+    """The processes and links of one run, and what was seen."""
+
+    world: World
+    nursery: trio.Nursery
+    seed: int
+    links: dict[str, Link] = attrs.field(factory=dict)
+    addresses: dict[str, str] = attrs.field(factory=dict)
+    settings: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    witness: WitnessState = attrs.field(factory=WitnessState)
+    findings: list[ReportFinding] = attrs.field(factory=list)
+    pool: ClientPool = attrs.field(factory=ClientPool)
+    keys: list[str] = attrs.field(factory=list)
+    withdrawn: dict[str, float] = attrs.field(factory=dict)
+    is_over: bool = False
+    _restarting: set[str] = attrs.field(factory=set, init=False)
+
+    def tell(self, event: Event) -> None:
+        """Let the witness check an event."""
+        for effect in WITNESS.reduce(self.witness, event):
+            assert isinstance(effect, ReportFinding)
+            self.findings.append(effect)
+
+    def choose_key(self, random: Random) -> str:
+        """Return the key in force, or at times one that was withdrawn."""
+        return random.choice([*self.keys[-1:] * 9, *self.keys])
+
+    def has_key_ended(self, key: str) -> bool:
+        """Tell whether a key must not work any more."""
+        ended = self.withdrawn.get(key, float("inf"))
+        return trio.current_time() > ended + REVOCATION_SECONDS
+
+    async def change_key(self) -> None:
+        """Withdraw the callers' key; another one is issued before."""
+        number = len(self.keys)
+        via = next((d for d in DAEMONS if self.find_process(d) is not None), None)
+        if via is None:
+            return
+        try:
+            await self._issue_key(f"key-{number + 1}", via)
+            await WithdrawKey(via=via, name=f"key-{number}").run(self.world)
+        except (ConnectionError, ExpectationError) as error:
+            print(f"the key was not changed: {error}", file=sys.stderr)
+        else:
+            self.withdrawn[self.world.find(f"key-{number}")] = trio.current_time()
+
+    def find_process(self, daemon: str) -> ManagedProcess | None:
+        """Return a daemon's process, None while it is started again."""
+        if daemon in self._restarting:
+            return None
+        process = self.world.group.processes[daemon]
+        return process if process.process.poll() is None else None
+
+    async def restart(self, daemon: str, number: int, seconds: float) -> None:
+        """End a daemon by a signal and start it again after some seconds."""
+        process = self.find_process(daemon)
+        if process is None:
+            return
+        self._restarting.add(daemon)
+        try:
+            process.send_signal(number)
+            if number == signal.SIGTERM:
+                process.send_signal(signal.SIGCONT)
+            await process.wait()
+            await trio.sleep(seconds)
+            await self.start_daemon(daemon)
+        finally:
+            self._restarting.discard(daemon)
+
+    async def start_daemon(self, daemon: str) -> None:
+        """Start a daemon and note its addresses."""
+        line = await self.world.group.start_daemon(daemon, self.settings[daemon])
+        self.addresses[daemon] = line["callers"]
+        self.world.names[f"{daemon}.admin"] = line["admin"]
+
+    async def plan_faults(self, stand_in: str, faults: list[dict[str, Any]]) -> None:
+        """Tell a stand-in which faults to show."""
+        await self._control("POST", stand_in, "faults", faults)
+
+    async def prepare(self) -> None:
+        """Start all processes and fill the catalogue."""
+        group = self.world.group
+        for name, kind in ((PLATFORM, "platform"), (SERVICE, "service")):
+            self.world.names[name] = await group.start_stand_in(kind, name)
+        for name in ENGINES:
+            options = {"token_seconds": 0.02}
+            self.world.names[name] = await group.start_stand_in("engine", name, options)
+        for name in (*ENGINES, SERVICE):
+            await self._open_link(name, self.world.find(name))
+        for name in DAEMONS:
+            await self._open_link(name, self.world.find(PLATFORM))
+            self.settings[name] = self._build_settings(name)
+            await self.start_daemon(name)
+        await self._fill_catalogue()
+
+    async def run(self, seconds: float) -> SoakResult:
+        """Carry the plan out beside the calls, and check what was seen."""
+        scopes = {
+            "daemon": list(DAEMONS),
+            "link": list(self.links),
+            "platform": [PLATFORM],
+            "server": [*ENGINES, SERVICE],
+        }
+        plan = draw_plan(self.seed, seconds, scopes)
+        async with trio.open_nursery() as callers:
+            for index in range(CALLERS):
+                caller = Caller(self, f"c{index}", Random(f"{self.seed}/{index}"))
+                callers.start_soon(caller.run)
+            async with trio.open_nursery() as faults:
+                for step in plan:
+                    faults.start_soon(self._carry_out, step)
+            await trio.sleep(RECOVERY_SECONDS)
+            calm_since = trio.current_time()
+            await trio.sleep(CALM_SECONDS)
+            self.is_over = True
+        await self._read_logs()
+        self.tell(SoakEnded(at=trio.current_time(), calm_since=calm_since))
+        answers = [f.answer for f in self.witness.calls.values() if f.answer]
+        return SoakResult(
+            seed=self.seed,
+            calls=len(self.witness.calls),
+            served=sum(answer.status == 200 for answer in answers),
+            plan=plan,
+            findings=tuple(self.findings),
+        )
+
+    async def _carry_out(self, step: FaultStep) -> None:
+        await trio.sleep(step.at)
+        fault = FAULTS.find(step.name)
+        begun = FaultBegan(
+            at=trio.current_time(), target=step.target, is_planned=fault.is_planned
+        )
+        self.tell(begun)
+        try:
+            await fault.action(self, step.target, step.seconds)
+        finally:
+            self.tell(FaultEnded(at=trio.current_time(), fault=begun))
+
+    async def _open_link(self, name: str, target: str) -> None:
+        self.links[name] = await Link.open(target, self.nursery)
+
+    def _build_settings(self, daemon: str) -> dict[str, Any]:
+        platform = self.links[daemon].address
+        return {
+            "host": {"name": daemon, "failure_domain": "riga"},
+            "callers": {"listen": "127.0.0.1:0"},
+            "admin": {"listen": "127.0.0.1:0"},
+            "hosts": {"listen": f"127.0.0.1:{_find_free_port()}"},
+            "platform": {"address": platform, "duties_address": platform},
+            "catalogue": {"revocation_bound": f"{REVOCATION_SECONDS}s"},
+            "usage": {"window": "2s", "seal_grace": "1s"},
+            "leases": {"ttl": "2s", "margin": "200ms"},
+            "upstream": {"silence_timeout": "3s"},
+            "drain": {"grace": "600ms"},
+        }
+
+    async def _fill_catalogue(self) -> None:
+        world, via = self.world, DAEMONS[0]
+
+        async def put(kind: str, name: str, record: dict[str, Any]) -> None:
+            await PutRecord(via=via, kind=kind, name=name, record=record).run(world)
+
+        await put("workspace", WORKSPACE, {"rate": 20000, "burst": 4000})
+        model = {"owner": WORKSPACE, "service_class": "model", "repeatable": True}
+        await put("entry", "draft", {**model, "limits": {"deadline": 5}})
+        service = {"owner": WORKSPACE, "service_class": "service", "path": "/filings"}
+        await put("entry", "filing", {**service, "limits": {"deadline": 5}})
+        for name, entry in ((SERVICE, "filing"), *((e, "draft") for e in ENGINES)):
+            address = self.links[name].address
+            record = {"address": address, "failure_domain": "riga", "entries": [entry]}
+            await put("server", name, record)
+        await self._issue_key("key-1", via)
+        await trio.sleep(RECOVERY_SECONDS)
+
+    async def _issue_key(self, name: str, via: str) -> None:
+        await IssueKey(via=via, workspace=WORKSPACE, name=name).run(self.world)
+        self.keys.append(self.world.find(name))
+
+    async def _read_logs(self) -> None:
+        """Tell the witness what servers and platform received."""
+        for name in (*ENGINES, SERVICE):
+            for call in await self._control("GET", name, "log", None):
+                found = CALL_NAME.search(call["body"])
+                called = found[0] if found else call["target"]
+                self.tell(ServerCalled(at=trio.current_time(), name=called))
+        for call in await self._control("GET", PLATFORM, "log", None):
+            if call["target"] == "/usage":
+                data = loads(call["body"])
+                counts = str(sorted(data["counts"].items()))
+                self.tell(
+                    UsageReported(
+                        at=trio.current_time(), window=data["window_id"], counts=counts
+                    )
+                )
+
+    async def _control(self, method: str, stand_in: str, call: str, data: Any) -> Any:
+        request = build_json_request(method, f"/standin/{call}", data)
+        address = self.world.find(stand_in)
+        response = await request_whole(
+            self.world.pool, address, request, CONTROL_TIMEOUT_SECONDS
+        )
+        return loads(response.body)
+
+
+async def run_soak(seed: int, seconds: float) -> SoakResult:
+    """Run the faults of a seed for some seconds; every process is ended.
+
+    Raises `ProcessFailedError` if a process does not start or stop.
+    """
+    result: SoakResult | None = None
+    async with trio.open_nursery() as nursery:
+        group = ProcessGroup(nursery)
+        soak = Soak(World(group, nursery), nursery, seed)
+        try:
+            await soak.prepare()
+            result = await soak.run(seconds)
+        finally:
+            group.kill_all()
+            nursery.cancel_scope.cancel()
+    if result is None:
+        raise ProcessFailedError(f"the soak of seed {seed} did not end")
+    return result
+
+
+def _find_free_port() -> int:
+    with socket.socket(type=socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
--- /dev/null
+++ b/packages/geraniumhall-bench/tests/test_soak.py
@@ -0,0 +1,221 @@
+"""Tests of the soak: its checks, its links and one short run."""
+
+import contextlib
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from geraniumhall_bench.soak import run_soak
+from geraniumhall_bench.soak.checks import MODEL_TEXT
+from geraniumhall_bench.soak.faults import FAULTS, draw_plan
+from geraniumhall_bench.soak.links import Link, LinkState
+from geraniumhall_bench.soak.witness import (
+    WITNESS,
+    AnswerCame,
+    CallKind,
+    CallSent,
+    FaultBegan,
+    FaultEnded,
+    ServerCalled,
+    SoakEnded,
+    UsageReported,
+    WitnessState,
+)
+from geraniumhall_core.reducer import Event
+
+SCOPES = {"daemon": ["d"], "link": ["l"], "platform": ["p"], "server": ["s"]}
+KILL = FaultBegan(at=0.5, target="d", is_planned=False)
+STOP = FaultBegan(at=0.5, target="d", is_planned=True)
+
+
+def send(name: str = "c1", kind: CallKind = CallKind.MODEL, **fields: bool) -> CallSent:
+    """Return the event of a call."""
+    return CallSent(at=1.0, name=name, kind=kind, daemon="d", **fields)
+
+
+def answer(
+    text: str = MODEL_TEXT,
+    name: str = "c1",
+    status: int = 200,
+    is_whole: bool = True,
+    verdict: str = "",
+) -> AnswerCame:
+    """Return the event of an answer."""
+    return AnswerCame(
+        at=2.0, name=name, status=status, is_whole=is_whole, text=text, verdict=verdict
+    )
+
+
+def check(*events: Event) -> list[str]:
+    """Return the names of the checks that find something."""
+    state = WitnessState()
+    found = [effect for event in events for effect in WITNESS.reduce(state, event)]
+    return [finding.check for finding in found]
+
+
+class CheckTest(unittest.TestCase):
+    """Each check finds what it is for, and nothing else."""
+
+    def test_good_run(self) -> None:
+        """A call that ran once and was answered is no finding."""
+        ran = ServerCalled(at=1.5, name="c1")
+        end = SoakEnded(at=9.0, calm_since=0.0)
+        self.assertEqual(check(send(), ran, answer(), end), [])
+
+    def test_another_text(self) -> None:
+        """A whole answer with another text is mixed up."""
+        self.assertEqual(check(send(), answer("t0 ")), ["mixed"])
+
+    def test_one_number_for_two_submissions(self) -> None:
+        """Two callers can't have the same submission."""
+        events = [send(name, CallKind.SUBMISSION) for name in ("c1", "c2")]
+        answers = [answer("7", name) for name in ("c1", "c2")]
+        self.assertEqual(check(*events, *answers), ["mixed"])
+
+    def test_submission_that_ran_twice(self) -> None:
+        """A submission runs once; a model call may be tried again."""
+        ran = ServerCalled(at=1.5, name="c1")
+        self.assertEqual(check(send(kind=CallKind.SUBMISSION), ran, ran), ["twice"])
+        self.assertEqual(check(send(), ran, ran), [])
+
+    def test_refusal_of_what_ran(self) -> None:
+        """It does not matter whether the run is seen before or after."""
+        ran = ServerCalled(at=1.5, name="c1")
+        refused = answer(status=503, verdict="not_run")
+        self.assertEqual(check(send(), ran, refused), ["refused"])
+        self.assertEqual(check(send(), refused, ran), ["refused"])
+
+    def test_withdrawn_key(self) -> None:
+        """A call with a key that ended may not run."""
+        ran = ServerCalled(at=1.5, name="c1")
+        self.assertEqual(check(send(key_ended=True), ran), ["withdrawn key"])
+
+    def test_run_that_nobody_sent(self) -> None:
+        """A server gets only what callers sent."""
+        self.assertEqual(check(ServerCalled(at=1.5, name="c9")), ["unasked"])
+
+    def test_cut_answer(self) -> None:
+        """Only an unplanned fault, or one just over, excuses a cut answer."""
+        cut = answer(is_whole=False)
+        self.assertEqual(check(send(), cut), ["cut"])
+        self.assertEqual(check(STOP, send(), cut), ["cut"])
+        self.assertEqual(check(KILL, send(), cut), [])
+        ended = FaultEnded(at=0.9, fault=KILL)
+        self.assertEqual(check(KILL, ended, send(), cut), [])
+
+    def test_different_reports_of_a_window(self) -> None:
+        """A window has one set of figures."""
+        reports = [UsageReported(at=1.0, window=3, counts=c) for c in ("a", "a", "b")]
+        self.assertEqual(check(*reports), ["usage"])
+
+    def test_no_recovery(self) -> None:
+        """After the faults most calls must be served."""
+        end = SoakEnded(at=9.0, calm_since=0.0)
+        refused = answer(status=503, verdict="not_run")
+        self.assertEqual(check(send(), refused, end), ["recovery"])
+
+
+class PlanTest(unittest.TestCase):
+    """A seed draws one plan."""
+
+    def test_plans_repeat(self) -> None:
+        """The same seed gives the same faults, another one others."""
+        plans = [draw_plan(seed, 20.0, SCOPES) for seed in (1, 1, 2)]
+        self.assertEqual(plans[0], plans[1])
+        self.assertNotEqual(plans[0], plans[2])
+
+    def test_every_fault_is_drawn(self) -> None:
+        """Fifty seeds hold every fault, each within the run."""
+        steps = [s for seed in range(50) for s in draw_plan(seed, 20.0, SCOPES)]
+        self.assertEqual({step.name for step in steps}, set(FAULTS))
+        self.assertLessEqual(max(step.at + step.seconds for step in steps), 20.001)
+
+
+class LinkTest(unittest.TestCase):
+    """A link treats its connections as it is told."""
+
+    def run_link(self, test: Callable[[Link], Awaitable[None]]) -> None:
+        """Run a test with a link before a server that echoes."""
+
+        async def echo(stream: trio.SocketStream) -> None:
+            async for data in stream:
+                await stream.send_all(data)
+
+        async def play() -> None:
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, echo, listeners)
+                host, port = listeners[0].socket.getsockname()[:2]
+                link = await Link.open(f"{host}:{port}", nursery)
+                await test(link)
+                nursery.cancel_scope.cancel()
+
+        trio.run(play)
+
+    async def connect(self, link: Link) -> trio.SocketStream:
+        """Return a connection over the link."""
+        host, port = link.address.split(":")
+        return await trio.open_tcp_stream(host, int(port))
+
+    def test_open_link_passes_on(self) -> None:
+        """What is sent comes back."""
+
+        async def test(link: Link) -> None:
+            stream = await self.connect(link)
+            await stream.send_all(b"a")
+            self.assertEqual(await stream.receive_some(1), b"a")
+
+        self.run_link(test)
+
+    def test_held_back_until_open(self) -> None:
+        """A link that holds back passes everything on afterwards."""
+        for state in (LinkState.SILENT, LinkState.ONE_WAY):
+            with self.subTest(state=state):
+
+                async def test(link: Link, state: LinkState = state) -> None:
+                    stream = await self.connect(link)
+                    link.change(state)
+                    await stream.send_all(b"a")
+                    with trio.move_on_after(0.05) as waited:
+                        await stream.receive_some(1)
+                    self.assertTrue(waited.cancelled_caught)
+                    link.change(LinkState.OPEN)
+                    self.assertEqual(await stream.receive_some(1), b"a")
+
+                self.run_link(test)
+
+    def test_reset(self) -> None:
+        """A reset breaks open connections."""
+
+        async def test(link: Link) -> None:
+            stream = await self.connect(link)
+            await stream.send_all(b"a")
+            await stream.receive_some(1)
+            link.reset()
+            with self.assertRaises(trio.BrokenResourceError):
+                await stream.receive_some(1)
+
+        self.run_link(test)
+
+    def test_refusing(self) -> None:
+        """A new connection ends at once."""
+
+        async def test(link: Link) -> None:
+            link.change(LinkState.REFUSING)
+            stream = await self.connect(link)
+            with contextlib.suppress(trio.BrokenResourceError):
+                self.assertEqual(await stream.receive_some(1), b"")
+
+        self.run_link(test)
+
+
+class RunTest(unittest.TestCase):
+    """Real processes under a seed's faults."""
+
+    def test_short_run(self) -> None:
+        """What must hold holds for a few seconds of seed 1."""
+        result = trio.run(run_soak, 1, 4.0)
+        self.assertEqual(result.findings, ())
+        self.assertGreater(result.served, 0)
--- a/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -18,9 +18,16 @@
     ScenarioError,
     find_scenario,
 )
+from geraniumhall_bench.soak import run_soak
 from geraniumhall_cli.client import AdminResponse, call_admin
 from geraniumhall_cli.explanations import explain_request
-from geraniumhall_cli.output import EXIT_REFUSED, EXIT_USAGE, fail, print_result
+from geraniumhall_cli.output import (
+    EXIT_REFUSED,
+    EXIT_USAGE,
+    fail,
+    format_table,
+    print_result,
+)
 from geraniumhall_wire.description import describe
 from geraniumhall_wire.settings import Settings, SettingsError
 
@@ -214,6 +221,30 @@
             sys.exit(EXIT_REFUSED)
         print_result([attrs.asdict(line) for line in story], self._target.json)
 
+    def soak(self, seed: int, seconds: float = 20.0, count: int = 1) -> None:
+        """Run daemons under random faults, for COUNT seeds from SEED on.
+
+        What did not hold is printed with the plan of its seed; exit code 1.
+        """
+        results = [trio.run(run_soak, seed + n, float(seconds)) for n in range(count)]
+        rows = [
+            {
+                "seed": result.seed,
+                "faults": len(result.plan),
+                "calls": result.calls,
+                "served": result.served,
+                "findings": [f"{f.check}: {f.reason}" for f in result.findings],
+            }
+            for result in results
+        ]
+        print_result(rows, self._target.json)
+        failed = [result for result in results if result.findings]
+        for result in failed:
+            plan = [attrs.asdict(step) for step in result.plan]
+            print(f"plan of seed {result.seed}:\n{format_table(plan)}", file=sys.stderr)
+        if failed:
+            sys.exit(EXIT_REFUSED)
+
     def dump(self) -> None:
         """Print the daemon's whole state as JSON."""
         print(dumps(self._target.call("GET", "/admin/v1/dump").data, indent=2))
