Give the soak two services, so that a second run could happen

Cause: with one service a submission had no other server to be sent to, so the check on second runs could not fail. Change: two services; a submission's answer names its server.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/callers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/callers.py
@@ -111,7 +111,8 @@
             text = _join_events(self.body)
             is_whole = is_whole and b"data: [DONE]" in self.body
         else:
-            text = str(_read_json(self.body).get("submission"))
+            taken = _read_json(self.body)
+            text = f"{taken.get('server')}/{taken.get('submission')}"
         return AnswerCame(
             at=0.0,
             name=name,
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/run.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/run.py
@@ -36,7 +36,7 @@
 
 DAEMONS = ("riga-1", "riga-2", "riga-3")
 ENGINES = ("engine-1", "engine-2")
-SERVICE = "filing-1"
+SERVICES = ("filing-1", "filing-2")
 PLATFORM = "platform"
 WORKSPACE = "audit"
 CALLERS = 6
@@ -141,12 +141,13 @@
     async def prepare(self) -> None:
         """Start all processes and fill the catalogue."""
         group = self.world.group
-        for name, kind in ((PLATFORM, "platform"), (SERVICE, "service")):
+        kinds = {PLATFORM: "platform", **dict.fromkeys(SERVICES, "service")}
+        for name, kind in kinds.items():
             self.world.names[name] = await group.start_stand_in(kind, name)
         for name in ENGINES:
             options = {"token_seconds": 0.02}
             self.world.names[name] = await group.start_stand_in("engine", name, options)
-        for name in (*ENGINES, SERVICE):
+        for name in (*ENGINES, *SERVICES):
             await self._open_link(name, self.world.find(name))
         for name in DAEMONS:
             await self._open_link(name, self.world.find(PLATFORM))
@@ -160,7 +161,7 @@
             "daemon": list(DAEMONS),
             "link": list(self.links),
             "platform": [PLATFORM],
-            "server": [*ENGINES, SERVICE],
+            "server": [*ENGINES, *SERVICES],
         }
         plan = draw_plan(self.seed, seconds, scopes)
         async with trio.open_nursery() as callers:
@@ -226,7 +227,11 @@
         await put("entry", "draft", {**model, "limits": {"deadline": 5}})
         service = {"owner": WORKSPACE, "service_class": "service", "path": "/filings"}
         await put("entry", "filing", {**service, "limits": {"deadline": 5}})
-        for name, entry in ((SERVICE, "filing"), *((e, "draft") for e in ENGINES)):
+        entries = {
+            **dict.fromkeys(SERVICES, "filing"),
+            **dict.fromkeys(ENGINES, "draft"),
+        }
+        for name, entry in entries.items():
             address = self.links[name].address
             record = {"address": address, "failure_domain": "riga", "entries": [entry]}
             await put("server", name, record)
@@ -239,7 +244,7 @@
 
     async def _read_logs(self) -> None:
         """Tell the witness what servers and platform received."""
-        for name in (*ENGINES, SERVICE):
+        for name in (*ENGINES, *SERVICES):
             for call in await self._control("GET", name, "log", None):
                 found = CALL_NAME.search(call["body"])
                 called = found[0] if found else call["target"]
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/standins/service.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/standins/service.py
@@ -29,8 +29,8 @@
 
 @BEHAVIOURS.register("service")
 def serve_submission(state: StandInState, event: CallArrived) -> Iterator[Reply]:
-    """Take a submission and number it."""
+    """Take a submission, and say its number and whose it is."""
     model: ServiceModel = state.model
     model.submissions.append(event.body.decode("latin-1"))
-    answer = {"submission": len(model.submissions)}
+    answer = {"submission": len(model.submissions), "server": state.name}
     yield Reply.from_json(event.call_id, 200, answer, echo_attempt(event))
