Count the grace of lapsed entries from the first answer of the store

Two hosts were cut off until 13.0 s; their feed of servers was listed again at 14.12 s. A server had left the store at 14.00 s without a word before. Its entry might have lapsed in an outage of the store, so it was kept until 16.12 s, 2 s after that feed had recovered, and got requests 2,043 and 2,087 ms after it had left (bound 2,000), from hosts that were in touch again at 16.0 s.

Change: the grace counts from the first answer to any feed's call since the last failure, 13.14 s there; a call that was sent before and fails later does not move it. What is held is not held longer by a later outage.

Ruled out: no grace at all, since all entries lapse when the store is away; a shorter one, which the platform's time for entries to come back forbids.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -66,12 +66,12 @@
     """Apply what the platform sent and ask for what comes next."""
     feed = state.feeds[purpose.feed]
     answer = event.answer
+    _note_contact(state, event)
     if not isinstance(answer, Listing | Changes):
         yield from _follow_failure(state, purpose.feed, feed, event)
         return
     if feed.failures:
         feed.failures = 0
-        feed.recovered_at = event.at
         yield _log_feed("info", "feed_recovered", purpose.feed)
     if purpose.feed is Feed.RECORDS and not feed.is_read:
         inherit_record(state, answer, event.at)
@@ -105,6 +105,17 @@
     return CallPlatform(purpose=FollowFeed(feed), message=message, delay=delay)
 
 
+def _note_contact(state: DaemonState, event: PlatformAnswered) -> None:
+    """Keep since when the platform has answered whatever was asked.
+
+    A call that was sent before that and failed later says nothing of it.
+    """
+    if not isinstance(event.answer, PlatformFailure):
+        state.answering_since = min(state.answering_since, event.at)
+    elif event.asked_at >= state.answering_since:
+        state.answering_since = float("inf")
+
+
 def _follow_failure(
     state: DaemonState, feed: Feed, followed: FeedState, event: PlatformAnswered
 ) -> Iterator[Effect]:
@@ -145,14 +156,17 @@
     """Hold deletions back that follow on an outage; return the other changes.
 
     Servers can't renew their entries while the store is away, so the entries
-    of healthy ones lapse. A server that was leaving is gone.
+    of healthy ones lapse. A server that was leaving is gone. If only this host
+    was cut off, a held one may be leaving, so the grace counts from the first
+    answer to any call.
     """
-    until = state.feeds[Feed.SERVERS].recovered_at + state.policy.lapse_grace
+    lapsed = state.lapsed
+    until = state.answering_since + state.policy.lapse_grace
     if now >= until:
         return changes
     held = [item for item in changes if _may_be_lapsed(state, item)]
-    state.lapsed.deletions += held
-    state.lapsed.until = until
+    lapsed.until = min(lapsed.until, until) if lapsed.deletions else until
+    lapsed.deletions += held
     return [item for item in changes if item not in held]
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -43,14 +43,12 @@
     """How far the copy of a feed is; times are in seconds.
 
     A `revision` of zero asks for a listing. `confirmed_at` is when the newest
-    answer that confirmed the copy was asked for, `recovered_at` when the first
-    answer came after a failure.
+    answer that confirmed the copy was asked for.
     """
 
     revision: int = 0
     confirmed_at: float = float("-inf")
     failures: int = 0
-    recovered_at: float = float("-inf")
 
     @property
     def is_read(self) -> bool:
@@ -141,7 +139,11 @@
 
 @attrs.define
 class DaemonState:
-    """State of one daemon process."""
+    """State of one daemon process.
+
+    The platform has answered every call since `answering_since` seconds, which
+    is infinite while it does not.
+    """
 
     policy: Policy
     usage: UsageLedger
@@ -149,6 +151,7 @@
     feeds: dict[Feed, FeedState] = attrs.field(
         factory=lambda: {feed: FeedState() for feed in Feed}
     )
+    answering_since: float = float("-inf")
     lapsed: LapsedServers = attrs.field(factory=LapsedServers)
     hosts: HostsView = attrs.field(factory=HostsView)
     publishing: PublishingState = attrs.field(factory=PublishingState)
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+import attrs
 from builders import (
+    build_answer,
     build_arrival,
     build_listing,
     build_records,
@@ -27,6 +29,7 @@
     WatchObjects,
 )
 from geraniumhall_core.policy import Policy
+from geraniumhall_core.purposes import FollowFeed
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.usage import UsageFigures, UsageLine, WindowUsage
@@ -166,6 +169,38 @@
         """A server that said it leaves is gone, whatever the store did."""
         self.assertNotIn("e9", self.lapse(leaving=True).catalogue.servers)
 
+    def test_grace_counts_from_the_first_answer_of_any_feed(self) -> None:
+        """A feed that is listed late does not lengthen the grace."""
+        state = build_state()
+        register_server(state)
+        for feed in (Feed.SERVERS, Feed.RECORDS):
+            follow(state, feed, DOWN, at=5.0)
+        follow(state, Feed.RECORDS, HistoryGone(), at=9.0)
+        follow(state, Feed.SERVERS, Listing(110, ()), at=10.0)
+        self.assertIn("e9", list_servers(state))
+        reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
+        self.assertNotIn("e9", list_servers(state))
+
+    def test_late_failure_does_not_lengthen_the_grace(self) -> None:
+        """A call that was sent in the outage says nothing of the time after."""
+        state = build_state()
+        register_server(state)
+        follow(state, Feed.SERVERS, DOWN, at=5.0)
+        follow(state, Feed.RECORDS, Changes(120, ()), at=9.0)
+        late = build_answer(FollowFeed(Feed.CONFIGURATION), DOWN, at=9.5)
+        reduce(state, attrs.evolve(late, asked_at=8.0))
+        follow(state, Feed.SERVERS, Listing(110, ()), at=10.0)
+        reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
+        self.assertNotIn("e9", list_servers(state))
+
+    def test_later_outage_keeps_earlier_deletions_no_longer(self) -> None:
+        """What is held is dropped when its own grace is over."""
+        state = self.lapse()
+        follow(state, Feed.SERVERS, DOWN, at=9.5)
+        follow(state, Feed.SERVERS, Listing(110, ()), at=10.5)
+        reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
+        self.assertNotIn("e9", list_servers(state))
+
     def test_entry_that_stays_away_is_dropped(self) -> None:
         """After the grace a missing entry counts as gone."""
         state = self.lapse()
