--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/checks.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/checks.py
@@ -18,7 +18,7 @@
 )
 from geraniumhall_core.reducer import Effect
 
-MODEL_TOKENS = 6
+MODEL_TOKENS = 20
 MODEL_TEXT = "".join(f"t{index} " for index in range(MODEL_TOKENS))
 SETTLING_SECONDS = 1.0
 SERVED_FRACTION = 0.25
@@ -94,8 +94,13 @@
 
 
 @WITNESS.handles(SoakEnded)
-def check_recovery(state: WitnessState, event: SoakEnded) -> Iterator[Effect]:
-    """Check that calls are served again once all faults are over."""
+def check_end(state: WitnessState, event: SoakEnded) -> Iterator[Effect]:
+    """Check that what ran was answered, and that calls are served again."""
+    for facts in state.calls.values():
+        is_unanswered = facts.answer is None or facts.answer.status == 0
+        if is_unanswered and facts.runs and not facts.was_disturbed:
+            reason = f"{facts.sent.name} ran and got no answer without a fault"
+            yield ReportFinding(check="cut", reason=reason)
     calm = [f for f in state.calls.values() if f.sent.at >= event.calm_since]
     served = [f for f in calm if f.answer is not None and f.answer.status == OK]
     if len(served) < SERVED_FRACTION * len(calm) or not calm:
--- a/packages/geraniumhall-bench/tests/test_soak.py
+++ b/packages/geraniumhall-bench/tests/test_soak.py
@@ -105,6 +105,14 @@
         ended = FaultEnded(at=0.9, fault=KILL)
         self.assertEqual(check(KILL, ended, send(), cut), [])
 
+    def test_run_without_an_answer(self) -> None:
+        """Without a fault what ran is answered, also at a planned stop."""
+        ran = ServerCalled(at=1.5, name="c1")
+        lost = answer(status=0, is_whole=False)
+        end = SoakEnded(at=9.0, calm_since=5.0)
+        self.assertIn("cut", check(STOP, send(), lost, ran, end))
+        self.assertNotIn("cut", check(KILL, send(), lost, ran, end))
+
     def test_different_reports_of_a_window(self) -> None:
         """A window has one set of figures."""
         reports = [UsageReported(at=1.0, window=3, counts=c) for c in ("a", "a", "b")]
