--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -18,7 +18,7 @@
 from geraniumhall_core.catalogue import Workspace
 from geraniumhall_core.effects import CallPlatform, RelayRequest
 from geraniumhall_core.events import Ticked
-from geraniumhall_core.hosts import HostRecord
+from geraniumhall_core.hosts import Demand, HostRecord
 from geraniumhall_core.platform import (
     Changes,
     Feed,
@@ -119,6 +119,32 @@
             self.assertEqual(delay > 0, waits)
 
 
+class HostRecordTest(unittest.TestCase):
+    """Records of other hosts are dated before they can have been written."""
+
+    def tell_demand(self, state: DaemonState, rate: float, at: float) -> None:
+        """Read a record of a host with this demand."""
+        revision = int(100 + at)
+        record = HostRecord(
+            failure_domain="b",
+            incarnation=1,
+            sequence=revision,
+            demands=(Demand("audit", rate),),
+        )
+        change = VersionedRecord(ObjectKey("host", "h2"), revision, record)
+        follow(state, Feed.RECORDS, Changes(revision, (change,)), at=at)
+
+    def test_increase_counts_from_the_reading_before(self) -> None:
+        """The other host may count it as soon as 5 s after that."""
+        state = build_state()
+        self.tell_demand(state, 10.0, at=2.0)
+        follow(state, Feed.RECORDS, Changes(102, ()), at=4.0)
+        self.tell_demand(state, 90.0, at=6.0)
+        demand = state.hosts.known["h2"].demand
+        counted = [demand.find_counted("audit", now, 5.0) for now in (8.9, 9.0)]
+        self.assertEqual(counted, [10.0, 90.0])
+
+
 class LostHistoryTest(unittest.TestCase):
     """A platform that forgot the history is read again, and that is all."""
 
--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -36,6 +36,46 @@
 
 
 MUTATIONS = (
+    Mutation(
+        8,
+        "a listing anew inherits the own record again",
+        f"{CORE}/handlers/feeds.py",
+        "if purpose.feed is Feed.RECORDS and not feed.is_read:",
+        "if purpose.feed is Feed.RECORDS and not feed.revision:",
+        "test_feeds",
+    ),
+    Mutation(
+        9,
+        "rates that were not confirmed are forgotten",
+        f"{CORE}/state.py",
+        "for rates in self.unsettled:",
+        "for rates in self.unsettled[-1:]:",
+        "test_limits",
+    ),
+    Mutation(
+        9,
+        "a reader dates records when it reads them",
+        f"{CORE}/handlers/feeds.py",
+        "    since = feed.confirmed_at\n",
+        "    since = event.at\n",
+        "test_feeds",
+    ),
+    Mutation(
+        10,
+        "a host opens as many connections as it likes",
+        f"{CORE}/state.py",
+        "return share is None or self.find_load(server).outstanding < share",
+        "return True",
+        "test_attempts",
+    ),
+    Mutation(
+        13,
+        "the grace of lapsed entries counts from their own feed",
+        f"{CORE}/handlers/feeds.py",
+        "state.answering_since = min(state.answering_since, event.at)",
+        "state.answering_since = event.at",
+        "test_feeds",
+    ),
     Mutation(
         1,
         "a different order may always follow",
@@ -64,7 +104,7 @@
         3,
         "a successor does not wait for the lease to end",
         f"{CORE}/handlers/leases.py",
-        "waited >= policy.lease_ttl + policy.lease_margin",
+        "waited >= state.policy.lease_ttl + state.policy.lease_margin",
         "waited >= 0",
         "test_authority",
     ),
