--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/links.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/links.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from contextlib import suppress
 from enum import Enum
 
 import attrs
@@ -89,12 +90,11 @@
     async def _carry(
         self, source: trio.SocketStream, sink: trio.SocketStream, is_answer: bool
     ) -> None:
-        try:
+        # Whichever end breaks, both are closed below, as a router would do.
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while data := await source.receive_some(RECEIVE_BYTES):
                 await self._hold_back(is_answer)
                 await sink.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
         await trio.aclose_forcefully(source)
         await trio.aclose_forcefully(sink)
 
