Let the soak use the scenarios' own steps

Cause: the soak had a second copy of what scenarios do: starting stand-ins and daemons, calling a stand-in's control API (a third copy), joining the events of an answer, and ending all processes of a run. It kept the daemons' addresses and a pool beside those of the world, and raised an error that could not occur.

Change: one control_stand_in and one read_text in steps/common, one run_in_world for scenarios and soaks; the soak starts processes and plans faults by the steps. A caller's call that runs into its time-out now tells the status that it had read, so a stream cut that way is looked at sooner.

Ruled out: sharing the log-line builders and message classes that only have one shape; they say different things.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/scenario.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/scenario.py
@@ -9,10 +9,10 @@
     - call: {via: riga-1, model: draft, expect: {status: 200}}
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from string import Template
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import attrs
 import trio
@@ -23,6 +23,8 @@
 from geraniumhall_net.client import ClientPool
 from geraniumhall_wire.converter import InvalidDataError, build_converter, structure
 
+T = TypeVar("T")
+
 SCENARIO_FOLDER = Path(__file__).parent / "scenarios"
 
 
@@ -68,6 +70,30 @@
         return self.names[name]
 
 
+async def run_in_world(
+    action: Callable[[World], Awaitable[T]], report: Callable[[str], None] = print
+) -> T:
+    """Run an action in a world of its own; every process is ended afterwards.
+
+    Raises what the action raises of `ExpectationError` and
+    `ProcessFailedError`.
+    """
+    results: list[T] = []
+    failure: Exception | None = None
+    async with trio.open_nursery() as nursery:
+        group = ProcessGroup(nursery)
+        try:
+            results.append(await action(World(group, nursery, report=report)))
+        except (ExpectationError, ProcessFailedError) as error:
+            failure = error
+        finally:
+            group.kill_all()
+            nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    return results[0]
+
+
 class Step(Protocol):
     """One step of a scenario."""
 
@@ -101,19 +127,7 @@
 
         Raises `ExpectationError` for the first step that fails.
         """
-        failure: Exception | None = None
-        async with trio.open_nursery() as nursery:
-            group = ProcessGroup(nursery)
-            world = World(group, nursery, report=report)
-            try:
-                await self._run_steps(world)
-            except (ExpectationError, ProcessFailedError) as error:
-                failure = error
-            finally:
-                group.kill_all()
-                nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
+        await run_in_world(self._run_steps, report)
 
     async def _run_steps(self, world: World) -> None:
         for number, step in enumerate(self.steps, 1):
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/callers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that keep their connections until the process is gone."""
 
+from contextlib import suppress
 from itertools import count
 from json import JSONDecodeError, loads
 from random import Random
@@ -10,6 +11,7 @@
 
 from geraniumhall_bench.soak.checks import MODEL_TOKENS
 from geraniumhall_bench.soak.witness import AnswerCame, CallKind, CallSent
+from geraniumhall_bench.steps.common import read_text
 from geraniumhall_net.client import (
     ClientConnection,
     ConnectFailedError,
@@ -38,7 +40,7 @@
     async def run(self) -> None:
         """Make calls at any daemon."""
         while not self.soak.is_over:
-            daemon = self.random.choice(sorted(self.soak.addresses))
+            daemon = self.random.choice(sorted(self.soak.daemons))
             await self._call(f"{self.name}-{next(self._ids)}.", daemon)
             await trio.sleep(self.random.uniform(0.0, 2 * PAUSE_SECONDS))
 
@@ -54,32 +56,27 @@
                 key_ended=self.soak.has_key_ended(key),
             )
         )
-        answer = AnswerCame(at=0.0, name=name, status=0, is_whole=False)
-        with trio.move_on_after(CALL_TIMEOUT_SECONDS):
-            answer = await self._exchange(name, kind, daemon, key)
-        self.soak.tell(attrs.evolve(answer, at=trio.current_time()))
+        reading = Reading()
+        with (
+            trio.move_on_after(CALL_TIMEOUT_SECONDS),
+            suppress(ConnectFailedError, ExchangeFailedError),
+        ):
+            await self._exchange(reading, daemon, _build_call(name, kind, key))
+        self.soak.tell(reading.describe(name, kind))
 
     async def _exchange(
-        self, name: str, kind: CallKind, daemon: str, key: str
-    ) -> AnswerCame:
-        address = self.soak.addresses[daemon]
-        failed = AnswerCame(at=0.0, name=name, status=0, is_whole=False)
-        try:
-            connection = await self.soak.pool.take(address)
-        except ConnectFailedError:
-            return failed
-        reading = Reading()
+        self, reading: "Reading", daemon: str, request: UpstreamRequest
+    ) -> None:
+        pool, address = self.soak.world.pool, self.soak.world.find(daemon)
+        connection = await pool.take(address)
         try:
-            await connection.send_request(_build_call(name, kind, key))
+            await connection.send_request(request)
             await reading.read(connection)
-        except ExchangeFailedError:
-            return attrs.evolve(failed, status=reading.status)
         finally:
             if reading.is_whole:
-                await self.soak.pool.give_back(address, connection)
+                await pool.give_back(address, connection)
             else:
-                await self.soak.pool.discard(address, connection)
-        return reading.describe(name, kind)
+                await pool.discard(address, connection)
 
 
 @attrs.define
@@ -108,13 +105,13 @@
         if self.status != OK:
             verdict = str(_read_json(self.body).get("error", {}).get("verdict", ""))
         elif kind is CallKind.MODEL:
-            text = _join_events(self.body)
             is_whole = is_whole and b"data: [DONE]" in self.body
+            text = read_text(self.body) if is_whole else ""
         else:
             taken = _read_json(self.body)
             text = f"{taken.get('server')}/{taken.get('submission')}"
         return AnswerCame(
-            at=0.0,
+            at=trio.current_time(),
             name=name,
             status=self.status,
             is_whole=is_whole,
@@ -146,12 +143,3 @@
     except JSONDecodeError:
         return {}
     return data if isinstance(data, dict) else {}
-
-
-def _join_events(body: bytes) -> str:
-    texts = []
-    for line in body.split(b"\n"):
-        event = _read_json(line.removeprefix(b"data: "))
-        for choice in event.get("choices", ()):
-            texts.append(choice["delta"]["content"])
-    return "".join(texts)
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/faults.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/faults.py
@@ -9,6 +9,7 @@
 import trio
 
 from geraniumhall_bench.soak.links import LinkState
+from geraniumhall_bench.steps.stand_ins import PlanFaults
 from geraniumhall_core.registry import Registry
 
 if TYPE_CHECKING:
@@ -133,12 +134,12 @@
 def _register_stand_in_fault(name: str, scope: str, **plan: Any) -> None:
     @_register(f"{scope} {name}", scope)
     async def plan_fault(soak: "Soak", target: str, seconds: float) -> None:
-        await soak.plan_faults(target, [{"name": name, **plan}])
+        await PlanFaults(at=target, faults=({"name": name, **plan},)).run(soak.world)
         try:
             await trio.sleep(seconds)
         finally:
             with trio.CancelScope(shield=True):
-                await soak.plan_faults(target, [])
+                await PlanFaults(at=target).run(soak.world)
 
 
 for platform_fault in ("slow", "down", "silent", "lose_reply"):
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/run.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/run.py
@@ -11,12 +11,8 @@
 import attrs
 import trio
 
-from geraniumhall_bench.processes import (
-    ManagedProcess,
-    ProcessFailedError,
-    ProcessGroup,
-)
-from geraniumhall_bench.scenario import ExpectationError, World
+from geraniumhall_bench.processes import ManagedProcess
+from geraniumhall_bench.scenario import ExpectationError, World, run_in_world
 from geraniumhall_bench.soak.callers import Caller
 from geraniumhall_bench.soak.faults import FAULTS, FaultStep, draw_plan
 from geraniumhall_bench.soak.links import Link
@@ -31,8 +27,9 @@
     WitnessState,
 )
 from geraniumhall_bench.steps.catalogue import IssueKey, PutRecord, WithdrawKey
+from geraniumhall_bench.steps.common import control_stand_in
+from geraniumhall_bench.steps.processes import StartDaemon, StartStandIn
 from geraniumhall_core.reducer import Event
-from geraniumhall_net.client import ClientPool, build_json_request, request_whole
 
 DAEMONS = ("riga-1", "riga-2", "riga-3")
 ENGINES = ("engine-1", "engine-2")
@@ -42,7 +39,6 @@
 CALLERS = 10
 CALM_SECONDS = 6.0
 RECOVERY_SECONDS = 4.0
-CONTROL_TIMEOUT_SECONDS = 10.0
 REVOCATION_SECONDS = 3.0
 CALL_NAME = compile_pattern(r"c\d+-\d+\.")
 
@@ -63,14 +59,11 @@
     """The processes and links of one run, and what was seen."""
 
     world: World
-    nursery: trio.Nursery
     seed: int
     links: dict[str, Link] = attrs.field(factory=dict)
-    addresses: dict[str, str] = attrs.field(factory=dict)
-    settings: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+    daemons: dict[str, StartDaemon] = attrs.field(factory=dict)
     witness: WitnessState = attrs.field(factory=WitnessState)
     findings: list[ReportFinding] = attrs.field(factory=list)
-    pool: ClientPool = attrs.field(factory=ClientPool)
     keys: list[str] = attrs.field(factory=list)
     withdrawn: dict[str, float] = attrs.field(factory=dict)
     is_over: bool = False
@@ -124,35 +117,28 @@
                 process.send_signal(signal.SIGCONT)
             await process.wait()
             await trio.sleep(seconds)
-            await self.start_daemon(daemon)
+            await self.daemons[daemon].run(self.world)
         finally:
             self._restarting.discard(daemon)
 
-    async def start_daemon(self, daemon: str) -> None:
-        """Start a daemon and note its addresses."""
-        line = await self.world.group.start_daemon(daemon, self.settings[daemon])
-        self.addresses[daemon] = line["callers"]
-        self.world.names[f"{daemon}.admin"] = line["admin"]
-
-    async def plan_faults(self, stand_in: str, faults: list[dict[str, Any]]) -> None:
-        """Tell a stand-in which faults to show."""
-        await self._control("POST", stand_in, "faults", faults)
-
     async def prepare(self) -> None:
         """Start all processes and fill the catalogue."""
-        group = self.world.group
         kinds = {PLATFORM: "platform", **dict.fromkeys(SERVICES, "service")}
         for name, kind in kinds.items():
-            self.world.names[name] = await group.start_stand_in(kind, name)
+            await StartStandIn(kind=kind, name=name).run(self.world)
         for name in ENGINES:
             options = {"token_seconds": 0.02}
-            self.world.names[name] = await group.start_stand_in("engine", name, options)
+            await StartStandIn(kind="engine", name=name, options=options).run(
+                self.world
+            )
         for name in (*ENGINES, *SERVICES):
             await self._open_link(name, self.world.find(name))
         for name in DAEMONS:
             await self._open_link(name, self.world.find(PLATFORM))
-            self.settings[name] = self._build_settings(name)
-            await self.start_daemon(name)
+            settings = self._build_settings(name)
+            start = StartDaemon(name=name, failure_domain="riga", settings=settings)
+            self.daemons[name] = start
+            await start.run(self.world)
         await self._fill_catalogue()
 
     async def run(self, seconds: float) -> SoakResult:
@@ -199,14 +185,11 @@
             self.tell(FaultEnded(at=trio.current_time(), fault=begun))
 
     async def _open_link(self, name: str, target: str) -> None:
-        self.links[name] = await Link.open(target, self.nursery)
+        self.links[name] = await Link.open(target, self.world.nursery)
 
     def _build_settings(self, daemon: str) -> dict[str, Any]:
         platform = self.links[daemon].address
         return {
-            "host": {"name": daemon, "failure_domain": "riga"},
-            "callers": {"listen": "127.0.0.1:0"},
-            "admin": {"listen": "127.0.0.1:0"},
             "hosts": {"listen": f"127.0.0.1:{_find_free_port()}"},
             "platform": {"address": platform, "duties_address": platform},
             "catalogue": {"revocation_bound": f"{REVOCATION_SECONDS}s"},
@@ -245,11 +228,11 @@
     async def _read_logs(self) -> None:
         """Tell the witness what servers and platform received."""
         for name in (*ENGINES, *SERVICES):
-            for call in await self._control("GET", name, "log", None):
+            for call in await self._read_log(name):
                 found = CALL_NAME.search(call["body"])
                 called = found[0] if found else call["target"]
                 self.tell(ServerCalled(at=trio.current_time(), name=called))
-        for call in await self._control("GET", PLATFORM, "log", None):
+        for call in await self._read_log(PLATFORM):
             if call["target"] == "/usage":
                 data = loads(call["body"])
                 counts = str(sorted(data["counts"].items()))
@@ -259,13 +242,8 @@
                     )
                 )
 
-    async def _control(self, method: str, stand_in: str, call: str, data: Any) -> Any:
-        request = build_json_request(method, f"/standin/{call}", data)
-        address = self.world.find(stand_in)
-        response = await request_whole(
-            self.world.pool, address, request, CONTROL_TIMEOUT_SECONDS
-        )
-        return loads(response.body)
+    async def _read_log(self, stand_in: str) -> list[dict[str, Any]]:
+        return loads((await control_stand_in(self.world, stand_in, "GET", "log")).body)
 
 
 async def run_soak(seed: int, seconds: float) -> SoakResult:
@@ -273,19 +251,13 @@
 
     Raises `ProcessFailedError` if a process does not start or stop.
     """
-    result: SoakResult | None = None
-    async with trio.open_nursery() as nursery:
-        group = ProcessGroup(nursery)
-        soak = Soak(World(group, nursery), nursery, seed)
-        try:
-            await soak.prepare()
-            result = await soak.run(seconds)
-        finally:
-            group.kill_all()
-            nursery.cancel_scope.cancel()
-    if result is None:
-        raise ProcessFailedError(f"the soak of seed {seed} did not end")
-    return result
+
+    async def play(world: World) -> SoakResult:
+        soak = Soak(world, seed)
+        await soak.prepare()
+        return await soak.run(seconds)
+
+    return await run_in_world(play)
 
 
 def _find_free_port() -> int:
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/steps/calls.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/calls.py
@@ -6,7 +6,7 @@
 import trio
 
 from geraniumhall_bench.scenario import STEPS, World
-from geraniumhall_bench.steps.common import compare
+from geraniumhall_bench.steps.common import compare, read_text
 from geraniumhall_net.client import (
     ClientConnection,
     ExchangeFailedError,
@@ -121,7 +121,7 @@
         if expect.status is not None:
             compare("status", self.status, expect.status, self.body)
         if expect.text is not None:
-            compare("text", _read_text(self.body), expect.text, self.body)
+            compare("text", read_text(self.body), expect.text, self.body)
         if expect.code is not None or expect.verdict is not None:
             error = loads(self.body)["error"]
             if expect.code is not None:
@@ -142,14 +142,3 @@
         answer = world.pending.pop(self.label)
         await answer.ended.wait()
         answer.check(world)
-
-
-def _read_text(body: bytes) -> str:
-    if not body.startswith(b"data:"):
-        return loads(body)["choices"][0]["message"]["content"]
-    texts = []
-    for line in body.split(b"\n"):
-        if line.startswith(b"data: {"):
-            for choice in loads(line[len(b"data: ") :]).get("choices", ()):
-                texts.append(choice["delta"]["content"])
-    return "".join(texts)
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/steps/common.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/common.py
@@ -1,5 +1,6 @@
-"""What several steps use: calls of the admin API and comparisons."""
+"""What several steps use: calls of APIs, the text of answers, comparisons."""
 
+from json import loads
 from typing import Any
 
 import attrs
@@ -26,6 +27,30 @@
     return await request_whole(world.pool, address, request, ADMIN_TIMEOUT_SECONDS)
 
 
+async def control_stand_in(
+    world: World, name: str, method: str, call: str, data: Any = None
+) -> WholeResponse:
+    """Call the control API of a stand-in."""
+    request = build_json_request(method, f"/standin/{call}", data)
+    response = await request_whole(
+        world.pool, world.find(name), request, ADMIN_TIMEOUT_SECONDS
+    )
+    check_status(response, 200, f"{call} of {name}")
+    return response
+
+
+def read_text(body: bytes) -> str:
+    """Return the text of a whole answer of a model, streamed or not."""
+    if not body.startswith(b"data:"):
+        return loads(body)["choices"][0]["message"]["content"]
+    texts = []
+    for line in body.split(b"\n"):
+        if line.startswith(b"data: {"):
+            for choice in loads(line[len(b"data: ") :]).get("choices", ()):
+                texts.append(choice["delta"]["content"])
+    return "".join(texts)
+
+
 def build_condition(version: int) -> Header:
     """Return the header that makes an edit depend on a version."""
     if version == 0:
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/steps/stand_ins.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/stand_ins.py
@@ -6,8 +6,7 @@
 import attrs
 
 from geraniumhall_bench.scenario import STEPS, ExpectationError, World
-from geraniumhall_bench.steps.common import ADMIN_TIMEOUT_SECONDS, check_status, compare
-from geraniumhall_net.client import build_json_request, request_whole
+from geraniumhall_bench.steps.common import compare, control_stand_in
 
 
 @STEPS.register("fault")
@@ -20,12 +19,7 @@
 
     async def run(self, world: World) -> None:
         """Replace the stand-in's faults."""
-        request = build_json_request("POST", "/standin/faults", list(self.faults))
-        address = world.find(self.at)
-        response = await request_whole(
-            world.pool, address, request, ADMIN_TIMEOUT_SECONDS
-        )
-        check_status(response, 200, f"faults at {self.at}")
+        await control_stand_in(world, self.at, "POST", "faults", list(self.faults))
 
 
 @STEPS.register("expect_calls")
@@ -45,11 +39,7 @@
 
     async def run(self, world: World) -> None:
         """Read the stand-in's log and check it."""
-        request = build_json_request("GET", "/standin/log", None)
-        address = world.find(self.at)
-        response = await request_whole(
-            world.pool, address, request, ADMIN_TIMEOUT_SECONDS
-        )
+        response = await control_stand_in(world, self.at, "GET", "log")
         calls = [c for c in loads(response.body) if self._is_meant(c)]
         if self.count is not None:
             compare("calls", len(calls), self.count, response.body)
