Keep the order of duty calls where the platform checks no tokens

Three ways to break it are shown by tests that failed first: a call whose packets were lost and that a paused holder sent again after its successor had acted; a call in flight while a draining holder released the lease; a call of a killed process that the host's next process overtook.

Change: duty calls expire with the lease, by the clock that includes suspension, and their connection is reset then (CallPlatform.expires_at, Expiries, ClientPool.abort); a drain awaits the answers of duty calls before it releases the lease; without checks of tokens a restarted holder waits for the lease to end, and a new holder waits 1 s before its first duty.

Ruled out: reading the lease before each call. It doubles the calls and shows no more than the renewal from which the lease's end counts.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
@@ -32,7 +32,7 @@
 from geraniumhall_core.handlers import REDUCER
 from geraniumhall_core.orders import OrderOutcome
 from geraniumhall_core.performers import Performers
-from geraniumhall_core.platform import PlatformAnswer, PlatformFailure
+from geraniumhall_core.platform import DutyMessage, PlatformAnswer, PlatformFailure
 from geraniumhall_core.platform_model import (
     PLATFORM,
     AnswerCall,
@@ -76,6 +76,14 @@
     log: list[WriteLog] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class DeliveredDuty:
+    """A duty call that reached the platform, `at` seconds of virtual time."""
+
+    at: float
+    message: DutyMessage
+
+
 @attrs.frozen
 class RelayedRequest:
     """A request that was sent to a backend server, `at` seconds of virtual time."""
@@ -104,7 +112,8 @@
     and receiver, each a host's name or `PLATFORM_NAME`. `replies_to_drop` and
     `order_answers_to_drop` count the next answers that are lost on their way
     back. Each predicate in `delayed_calls` delays the first platform call that
-    it matches by `PLATFORM_DELAY_SECONDS`.
+    it matches by `PLATFORM_DELAY_SECONDS`. `duty_latencies` holds the latency of
+    duty calls of hosts whose packets are lost on the way and sent again.
     """
 
     random: Random
@@ -124,6 +133,8 @@
     refused_requests: list[RefusedRequest] = attrs.field(factory=list)
     admin_answers: dict[int, AdminAnswer] = attrs.field(factory=dict)
     platform_messages: list[Any] = attrs.field(factory=list)
+    delivered_duties: list[DeliveredDuty] = attrs.field(factory=list)
+    duty_latencies: dict[str, float] = attrs.field(factory=dict)
     _scheduled_actions: list[tuple[float, int, Callable[[], None]]] = attrs.field(
         factory=list
     )
@@ -250,13 +261,18 @@
         return self.random.random(), self.random.random()
 
     def call_platform(
-        self, host: str, message: Any, reply: Callable[[PlatformAnswer], None]
+        self,
+        host: str,
+        message: Any,
+        reply: Callable[[PlatformAnswer], None],
+        expires_at: float | None = None,
     ) -> None:
         """Deliver a call to the platform and pass the answer to `reply`.
 
         A lost request or answer fails the call with `PlatformFailure`,
         `PLATFORM_TIMEOUT_SECONDS` after the loss. A delayed call fails that
-        long after it was sent, but still takes effect when it arrives.
+        long after it was sent, but still takes effect when it arrives. A call
+        that has not arrived by `expires_at` is lost.
         """
         if (host, PLATFORM_NAME) in self.blocked_links:
             lost = PlatformFailure("link is blocked", Verdict.MAY_HAVE_RUN)
@@ -264,6 +280,8 @@
             return
         call_id = next(self._ids)
         latency = self.platform_latency
+        if isinstance(message, DutyMessage):
+            latency = self.duty_latencies.get(host, latency)
         self._pending_platform_calls[call_id] = lambda answer: self._return_answer(
             host, reply, answer
         )
@@ -272,7 +290,33 @@
             self._pending_platform_calls[call_id] = _discard_answer
             lost = PlatformFailure("reply timed out", Verdict.MAY_HAVE_RUN)
             self._schedule(PLATFORM_TIMEOUT_SECONDS, lambda: reply(lost))
-        self._schedule(latency, lambda: self._deliver_to_platform(call_id, message))
+        daemon = self.daemons[host]
+        self._schedule(
+            latency, lambda: self._deliver_call(daemon, call_id, message, expires_at)
+        )
+
+    def _deliver_call(
+        self,
+        sender: SimulatedDaemon,
+        call_id: int,
+        message: Any,
+        expires_at: float | None,
+    ) -> None:
+        """Deliver a call, unless its sender has reset the connection.
+
+        A paused sender sends nothing again until it is resumed. What a killed
+        one has sent still arrives.
+        """
+        if sender.is_paused and sender.is_alive:
+            self._schedule(
+                TICK_SECONDS,
+                lambda: self._deliver_call(sender, call_id, message, expires_at),
+            )
+        elif sender.is_alive and expires_at is not None and self.now >= expires_at:
+            reply = self._pending_platform_calls.pop(call_id)
+            reply(PlatformFailure("the call has expired", Verdict.MAY_HAVE_RUN))
+        else:
+            self._deliver_to_platform(call_id, message)
 
     def _consume_delay(self, message: Any) -> bool:
         """Return whether a message is to be delayed, and use up the predicate."""
@@ -313,6 +357,8 @@
 
     def _deliver_to_platform(self, call_id: int, message: Any) -> None:
         self.platform_messages.append(message)
+        if isinstance(message, DutyMessage):
+            self.delivered_duties.append(DeliveredDuty(self.now, message))
         event = CallReceived(at=self.now, call_id=call_id, message=message)
         self._apply_to_platform(event)
 
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
@@ -55,7 +55,9 @@
                 ),
             )
 
-        cluster.call_platform(daemon.state.policy.host, effect.message, reply)
+        cluster.call_platform(
+            daemon.state.policy.host, effect.message, reply, effect.expires_at
+        )
 
     cluster.call_later(effect.delay, send_call)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -84,11 +84,17 @@
 
 @attrs.frozen(kw_only=True)
 class CallPlatform(Effect):
-    """Call the platform after `delay` seconds, for a purpose."""
+    """Call the platform after `delay` seconds, for a purpose.
+
+    A call that is not answered by `expires_at`, in seconds on the host's clock, is
+    cancelled and its connection reset, so that it can't arrive any later. None
+    sets no limit.
+    """
 
     purpose: Purpose
     message: PlatformMessage
     delay: float = 0.0
+    expires_at: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -22,15 +22,39 @@
 from geraniumhall_core.state import DaemonState
 
 MAX_CANDIDATES = 2
+# Covers a duty call that a killed holder sent at the end of its lease and whose
+# packets were lost and sent again.
+UNCHECKED_SETTLE_SECONDS = 1.0
 CALL_INTERVAL_FRACTION = 1 / 3  # of the lease's TTL
 
 
 def find_held_term(state: DaemonState, now: float) -> int | None:
     """Return the term of the lease if this daemon holds it now, else None."""
-    lease = state.lease
-    if now >= lease.held_until - state.policy.lease_margin:
+    if now >= compute_authority_end(state):
         return None
-    return lease.term
+    return state.lease.term
+
+
+def find_duty_term(state: DaemonState, now: float) -> int | None:
+    """Return the term under which duty calls may be started now, else None.
+
+    A draining host starts none once it has stopped listening, since it releases
+    the lease as soon as all of them are answered. A platform that does not check
+    fencing tokens accepts calls in any order, so there a new holder first waits
+    until a call of the holder before it can't arrive any more.
+    """
+    if state.drain.stopped_listening:
+        return None
+    if not state.policy.checks_fencing:
+        settled_at = state.lease.term_since + UNCHECKED_SETTLE_SECONDS
+        if now < settled_at:
+            return None
+    return find_held_term(state, now)
+
+
+def compute_authority_end(state: DaemonState) -> float:
+    """Return when calls under the held lease expire, in seconds on its clock."""
+    return state.lease.held_until - state.policy.lease_margin
 
 
 def maintain_lease(state: DaemonState, now: float) -> Iterator[Effect]:
@@ -133,12 +157,18 @@
     """Return whether no process can hold the lease any more.
 
     A host runs one daemon at a time. A lease of this host that this process does
-    not hold therefore belongs to an earlier process, or has expired.
+    not hold therefore belongs to an earlier process, or has expired. A call of
+    an earlier process may still arrive, which only a platform that checks fencing
+    tokens rejects.
     """
-    if record.host in ("", state.policy.host):
+    policy = state.policy
+    is_released = not record.host
+    is_own = (record.host, record.incarnation) == (policy.host, policy.incarnation)
+    is_predecessor = record.host == policy.host and policy.checks_fencing
+    if is_released or is_own or is_predecessor:
         return True
     waited = now - state.lease.first_seen_at
-    return waited >= state.policy.lease_ttl + state.policy.lease_margin
+    return waited >= policy.lease_ttl + policy.lease_margin
 
 
 def _mark_held(state: DaemonState, version: int, record: Lease) -> Iterator[Effect]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -95,7 +95,7 @@
         drain.stopped_listening = True
         yield StopListening()
     is_idle = not state.requests and not state.publishing.is_calling
-    if not drain.is_handing_over and is_idle:
+    if not drain.is_handing_over and is_idle and not _awaits_duty_answer(state):
         drain.is_handing_over = True
         calls = _hand_over(state, now, wall_time)
         drain.pending_calls = len(calls)
@@ -106,6 +106,15 @@
         yield EndProcess()
 
 
+def _awaits_duty_answer(state: DaemonState) -> bool:
+    """Return whether a duty call, or a call that prepares one, is in flight.
+
+    The lease is not released before, so that a successor's call can't overtake it.
+    """
+    scaling = any(request.is_calling for request in state.scale_requests.values())
+    return scaling or state.sealing.is_calling
+
+
 def _hand_over(state: DaemonState, now: float, wall_time: float) -> list[Effect]:
     """Return the calls that release the lease and publish the final counts."""
     calls: list[Effect] = list(release_lease(state, now))
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
@@ -7,7 +7,12 @@
 
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import PlatformAnswered
-from geraniumhall_core.handlers.leases import find_held_term, step_down
+from geraniumhall_core.handlers.leases import (
+    compute_authority_end,
+    find_duty_term,
+    find_held_term,
+    step_down,
+)
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.platform import DutyAccepted, DutyFenced, ScaleService
 from geraniumhall_core.purposes import ScaleDomain
@@ -21,11 +26,11 @@
 
 def reconcile_scale(state: DaemonState, now: float) -> Iterator[Effect]:
     """Request the server counts that the policy wants, if the lease is held."""
-    term = find_held_term(state, now)
-    if term is None:
+    if find_held_term(state, now) is None:
         state.scale_requests.clear()
         return
-    if not state.policy.has_duties:
+    term = find_duty_term(state, now)
+    if term is None or not state.policy.has_duties:
         return
     policy = SCALING_POLICIES.find(state.policy.scaling)
     for name, service in state.catalogue.services.items():
@@ -104,4 +109,5 @@
                 count=count,
                 reclaimable=reclaimable,
             ),
+            expires_at=compute_authority_end(state),
         )
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
@@ -2,9 +2,16 @@
 
 from collections.abc import Iterator
 
+import attrs
+
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import PlatformAnswered
-from geraniumhall_core.handlers.leases import find_held_term, step_down
+from geraniumhall_core.handlers.leases import (
+    compute_authority_end,
+    find_duty_term,
+    find_held_term,
+    step_down,
+)
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.platform import (
     DutyAccepted,
@@ -42,13 +49,13 @@
     holder may not have reported, are reported while no window is due.
     """
     sealing = state.sealing
-    term = find_held_term(state, now)
-    if term is None:
+    if find_held_term(state, now) is None:
         state.sealing = SealingState(is_calling=sealing.is_calling)
         return
     if sealing.is_calling or now < sealing.next_call_at:
         return
-    if not state.policy.has_duties:
+    term = find_duty_term(state, now)
+    if term is None or not state.policy.has_duties:
         return
     if sealing.seals is None:
         yield _start_call(sealing, ReadSeals(), GetObject(SEALS_KEY))
@@ -148,7 +155,8 @@
         window=window.window,
         lines=window.lines,
     )
-    return _start_call(state.sealing, ReportWindow(window), message)
+    call = _start_call(state.sealing, ReportWindow(window), message)
+    return attrs.evolve(call, expires_at=compute_authority_end(state))
 
 
 def _find_due_window(
--- a/packages/geraniumhall-core/src/geraniumhall_core/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/leases.py
@@ -34,8 +34,9 @@
 
     `version` is the latest version seen, and `first_seen_at` when it was first
     seen. `written_at` maps the renewal number of each own write to the time just
-    before it was sent. `held_until` is when this process's lease expires. A former
-    holder does not compete for the lease until `cooldown_until`.
+    before it was sent. `held_until` is when this process's lease expires, and
+    `term_since` when its first write under `term` was sent. A former holder does
+    not compete for the lease until `cooldown_until`.
     """
 
     version: int = 0
@@ -45,6 +46,7 @@
     renewal: int = 0
     held_until: float = float("-inf")
     term: int = 0
+    term_since: float = float("-inf")
     is_calling: bool = False
     next_call_at: float = float("-inf")
     cooldown_until: float = float("-inf")
@@ -65,8 +67,10 @@
         """
         self.version = version
         self.record = record
-        self.term = record.term
         sent_at = self.written_at.get(record.renewal, float("-inf"))
+        if record.term != self.term:
+            self.term_since = sent_at
+        self.term = record.term
         self.held_until = sent_at + ttl
         self.written_at = {
             number: moment
--- a/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
@@ -81,8 +81,8 @@
     """The platform's state.
 
     The `history` of changes begins after `compacted_revision`. `fencing_tokens`
-    holds the highest token seen for each subject of duty calls. `calls` counts
-    messages by type.
+    holds the highest token seen for each subject of duty calls; a lower one is
+    rejected if `checks_fencing` is true. `calls` counts messages by type.
     """
 
     revision: int = 1
@@ -90,6 +90,7 @@
     history: list[VersionedRecord] = attrs.field(factory=list)
     compacted_revision: int = 0
     watches: dict[int, PendingWatch] = attrs.field(factory=dict)
+    checks_fencing: bool = True
     fencing_tokens: dict[tuple[str, ...], int] = attrs.field(factory=dict)
     usage: dict[int, tuple[UsageLine, ...]] = attrs.field(factory=dict)
     scales: dict[tuple[str, str, bool], int] = attrs.field(factory=dict)
@@ -197,10 +198,9 @@
     state: PlatformState, message: DutyMessage, subject: tuple[str, ...]
 ) -> bool:
     """Return whether a higher token was seen, and record this one if not."""
-    if message.fencing_token < state.fencing_tokens.get(subject, 0):
-        return True
-    state.fencing_tokens[subject] = message.fencing_token
-    return False
+    highest = state.fencing_tokens.get(subject, 0)
+    state.fencing_tokens[subject] = max(highest, message.fencing_token)
+    return state.checks_fencing and message.fencing_token < highest
 
 
 def _write_object(
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -11,7 +11,8 @@
 
     They change only when the settings are reloaded. `incarnation` is unique among
     all processes that have run on the host. Fields that come from settings are
-    documented there, with their sources.
+    documented there, with their sources. `checks_fencing` is true if the platform
+    rejects duty calls with an old fencing token.
     """
 
     host: str
@@ -19,6 +20,7 @@
     incarnation: int
     peer_address: str = ""
     has_duties: bool = True
+    checks_fencing: bool = True
     routing: str = "prefix_affinity"
     planning: str = "earliest_answer"
     scaling: str = "none"
--- a/packages/geraniumhall-core/tests/test_scaling.py
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -12,7 +12,7 @@
     Service,
 )
 from geraniumhall_core.effects import CallPlatform
-from geraniumhall_core.events import Ticked
+from geraniumhall_core.events import DrainRequested, Ticked
 from geraniumhall_core.leases import Lease
 from geraniumhall_core.platform import (
     Changes,
@@ -20,9 +20,17 @@
     DutyFenced,
     DutyRejected,
     Feed,
+    ObjectMissing,
     ScaleService,
+    Written,
+)
+from geraniumhall_core.purposes import (
+    FollowFeed,
+    PublishHost,
+    ReadSeals,
+    ReleaseLease,
+    ScaleDomain,
 )
-from geraniumhall_core.purposes import FollowFeed, ScaleDomain
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.scaling import DomainTarget, DomainView, prefer_reclaimable
 from geraniumhall_core.state import DaemonState
@@ -95,6 +103,39 @@
         self.assertEqual(found, {(True, 3), (False, 3)})
         self.assertEqual({c.message.fencing_token for c in calls}, {4})
 
+    def test_scale_requests_expire_with_the_lease(self) -> None:
+        """A request must not arrive once a successor may have sent its own."""
+        state = self.build()
+        ends = {call.expires_at for call in tick(state, 2.1)}
+        self.assertEqual(ends, {2.0 + 9.0 - state.policy.lease_margin})
+
+    def test_new_holder_waits_where_tokens_are_not_checked(self) -> None:
+        """A call of the holder before may still arrive, and nothing rejects it."""
+        state = self.build()
+        state.policy = attrs.evolve(state.policy, checks_fencing=False)
+        self.assertEqual(tick(state, 2.9), [])
+        self.assertEqual(len(tick(state, 3.1)), 2)
+
+    def test_drain_releases_the_lease_after_the_answers(self) -> None:
+        """A successor can't act while a scale request is still on its way."""
+        state = self.build()
+        calls = tick(state, 2.1)
+        reduce(state, DrainRequested(at=2.2))
+        published = PublishHost(state.publishing.sequence)
+        reduce(state, build_answer(published, Written(200), at=2.3))
+        state.publishing.next_call_at = 9.0
+        self.assertFalse(self.releases_lease(state, 4.5))
+        for call in calls:
+            reduce(state, build_answer(call.purpose, DutyAccepted(), at=4.6))
+        reduce(state, build_answer(ReadSeals(), ObjectMissing(), at=4.6))
+        self.assertTrue(self.releases_lease(state, 4.7))
+
+    def releases_lease(self, state: DaemonState, at: float) -> bool:
+        """Advance the time and return whether the lease is released."""
+        effects = reduce(state, Ticked(at=at, wall_time=at, draws=(0.0, 0.0)))
+        calls = [e for e in effects if isinstance(e, CallPlatform)]
+        return any(isinstance(call.purpose, ReleaseLease) for call in calls)
+
     def test_others_send_no_scale_requests(self) -> None:
         """A host without the lease sends no scale requests."""
         self.assertEqual(tick(self.build(is_holder=False), 2.1), [])
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -15,6 +15,7 @@
 from geraniumhall_core.state import DaemonState
 from geraniumhall_daemon.clock import SystemClock
 from geraniumhall_daemon.exchanges import Exchange
+from geraniumhall_daemon.expiries import Expiries
 from geraniumhall_daemon.metrics import MetricsSink
 from geraniumhall_net.client import ClientPool, Connector, connect_tcp
 from geraniumhall_net.drivers import PLATFORM_DRIVERS, PlatformDriver
@@ -87,6 +88,7 @@
     front: Front
     recorder: Recorder
     exchanges: dict[str, Exchange] = attrs.field(factory=dict)
+    expiries: Expiries = attrs.field(factory=Expiries)
     admin_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
     listeners: list[Listener] = attrs.field(factory=list)
     peers_socket: trio.socket.SocketType | None = None
@@ -188,6 +190,7 @@
         """Dispatch the start event, then a tick every `TICK_SECONDS` until stopped."""
         self.dispatch(DaemonStarted(at=self.read_now()))
         while not self.stopped.is_set():
+            self.expiries.cancel_expired(self.read_now())
             self.dispatch(
                 Ticked(
                     at=self.read_now(),
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/performers.py
@@ -12,7 +12,9 @@
     WriteLog,
 )
 from geraniumhall_core.events import PlatformAnswered
+from geraniumhall_core.platform import PlatformAnswer, PlatformFailure
 from geraniumhall_core.reducer import Effect
+from geraniumhall_core.verdict import Verdict
 from geraniumhall_daemon.daemon import PERFORMERS, Daemon
 from geraniumhall_daemon.exchanges import EXCHANGE_EFFECTS
 from geraniumhall_daemon.logs import write_log
@@ -33,7 +35,9 @@
     if effect.delay:
         await trio.sleep(effect.delay)
     called_at = daemon.read_now()
-    answer = await daemon.platform.call(effect.message)
+    answer: PlatformAnswer = PlatformFailure("the call expired", Verdict.MAY_HAVE_RUN)
+    with daemon.expiries.limit_until(effect.expires_at, called_at):
+        answer = await daemon.platform.call(effect.message)
     daemon.dispatch(
         PlatformAnswered(
             at=daemon.read_now(),
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -5,11 +5,12 @@
 """
 
 import select
+import struct
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from json import dumps
 from re import compile as compile_pattern
-from socket import AF_INET, AF_INET6
+from socket import AF_INET, AF_INET6, SO_LINGER, SOL_SOCKET
 
 import attrs
 import h11
@@ -170,6 +171,13 @@
         """Close the connection without waiting."""
         await trio.aclose_forcefully(self._stream)
 
+    async def reset(self) -> None:
+        """Close the connection with a TCP RST; what was not delivered yet is lost."""
+        if isinstance(self._stream, trio.SocketStream):
+            linger = struct.pack("ii", 1, 0)  # a zero linger time makes close send RST
+            self._stream.setsockopt(SOL_SOCKET, SO_LINGER, linger)
+        await self.close()
+
     def _apply_keep_alive(self, head: ResponseHead) -> None:
         """Expire an idle connection before the server's keep-alive timeout."""
         match = KEEP_ALIVE_PATTERN.search(head.find(b"keep-alive") or b"")
@@ -251,6 +259,11 @@
         self._count_closed(address)
         await connection.close()
 
+    async def abort(self, address: str, connection: ClientConnection) -> None:
+        """Reset a connection, so that a request still on its way is not delivered."""
+        self._count_closed(address)
+        await connection.reset()
+
     def count_open(self) -> dict[str, int]:
         """Return the number of open connections by address, idle ones included."""
         return dict(self._open)
@@ -307,7 +320,8 @@
     """Send a request and return the response with its complete body.
 
     Without `reuse` a new connection is opened. `timeout` is in seconds and
-    starts once there is a connection. Raises `ConnectFailedError` if
+    starts once there is a connection. A connection without a whole response is
+    reset, so that the request can't arrive later. Raises `ConnectFailedError` if
     connecting failed, and `ExchangeFailedError` if the exchange did.
     """
     connection = await pool.acquire(address, reuse)
@@ -324,7 +338,7 @@
         if is_complete:
             await pool.release(address, connection)
         else:
-            await pool.discard(address, connection)
+            await pool.abort(address, connection)
 
 
 def build_json_request(method: str, target: str, data: object) -> UpstreamRequest:
--- a/packages/geraniumhall-net/tests/test_client.py
+++ b/packages/geraniumhall-net/tests/test_client.py
@@ -106,6 +106,50 @@
         run(test)
 
 
+class AbandonedCallTest(unittest.TestCase):
+    """A call without an answer is taken back, over real sockets."""
+
+    async def abandon_call(
+        self, abandon: Callable[[ClientPool, str], Awaitable[None]]
+    ) -> str:
+        """Abandon a call and return how its connection ends for the server.
+
+        After a reset the client's kernel sends nothing again, whereas bytes that
+        wait to be sent again still arrive after an ordinary close.
+        """
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listeners[0].socket.getsockname()[:2]
+        await abandon(ClientPool(), f"{host}:{port}")
+        stream = await listeners[0].accept()
+        try:
+            while await stream.receive_some(100):
+                pass
+        except trio.BrokenResourceError:
+            return "reset"
+        finally:
+            await trio.aclose_forcefully(stream)
+            await listeners[0].aclose()
+        return "closed"
+
+    def test_call_that_times_out_is_reset(self) -> None:
+        """A call without an answer in time ends with a reset."""
+
+        async def abandon(pool: ClientPool, address: str) -> None:
+            with self.assertRaises(ExchangeFailedError):
+                await fetch_response(pool, address, REQUEST, 0.05)
+
+        self.assertEqual(trio.run(self.abandon_call, abandon), "reset")
+
+    def test_call_that_is_cancelled_is_reset(self) -> None:
+        """A cancelled call, such as one that expired, is reset too."""
+
+        async def abandon(pool: ClientPool, address: str) -> None:
+            with trio.move_on_after(0.05):
+                await fetch_response(pool, address, REQUEST, 5.0)
+
+        self.assertEqual(trio.run(self.abandon_call, abandon), "reset")
+
+
 class IdleConnectionsTest(unittest.TestCase):
     """Idle connections count toward the limit, and expire."""
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -105,9 +105,9 @@
     `address` is that of the object store. `duties_address` is that of the
     platform's duty calls (usage reports and scale requests), which one host at
     a time makes; if it is empty, no host makes them. `checks_fencing` tells
-    whether servers that register themselves reject orders with an old fencing
-    token. `seed` holds initial catalogue records by kind and name for the
-    `memory` driver.
+    whether the duties, and the servers that register themselves, reject calls
+    and orders with an old fencing token. `seed` holds initial catalogue records by
+    kind and name for the `memory` driver.
     """
 
     driver: str = "objects"
@@ -117,6 +117,11 @@
     checks_fencing: bool = False
     seed: dict[str, dict[str, Any]] = attrs.field(factory=dict)
 
+    @property
+    def checks_duty_tokens(self) -> bool:
+        """Whether the platform rejects duty calls with an old fencing token."""
+        return self.driver == "memory" or self.checks_fencing
+
     @property
     def has_duties(self) -> bool:
         """Whether hosts make duty calls: usage reports and scale requests."""
@@ -349,6 +354,7 @@
             incarnation=incarnation,
             peer_address=self.hosts.listen,
             has_duties=self.platform.has_duties,
+            checks_fencing=self.platform.checks_duty_tokens,
             routing=self.routing.policy,
             planning=self.routing.planning,
             scaling=self.routing.scaling,
--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 CORE = "packages/geraniumhall-core/src/geraniumhall_core"
 WIRE = "packages/geraniumhall-wire/src/geraniumhall_wire"
+NET = "packages/geraniumhall-net/src/geraniumhall_net"
 DAEMON = "packages/geraniumhall-daemon/src/geraniumhall_daemon"
 PLATFORM = "platform/src/geraniumhall_platform"
 WORKERS = 3
@@ -104,11 +105,59 @@
         "return 0",
         "test_orders",
     ),
+    Mutation(
+        7,
+        "a restarted holder of unchecked duties does not wait",
+        f"{CORE}/handlers/leases.py",
+        "is_predecessor = record.host == policy.host and policy.checks_fencing",
+        "is_predecessor = record.host == policy.host",
+        "test_duties",
+    ),
+    Mutation(
+        7,
+        "the lease is released while a duty call is in flight",
+        f"{CORE}/handlers/lifecycle.py",
+        " and not _awaits_duty_answer(state)",
+        "",
+        "test_scaling",
+    ),
+    Mutation(
+        7,
+        "usage reports outlive the lease",
+        f"{CORE}/handlers/usage.py",
+        "return attrs.evolve(call, expires_at=compute_authority_end(state))",
+        "return call",
+        "test_duties",
+    ),
+    Mutation(
+        7,
+        "scale requests outlive the lease",
+        f"{CORE}/handlers/scaling.py",
+        "expires_at=compute_authority_end(state)",
+        "expires_at=None",
+        "test_scaling",
+    ),
+    Mutation(
+        7,
+        "an expired call goes on after a suspension",
+        f"{DAEMON}/expiries.py",
+        "        if now >= expires_at:\n",
+        "        if False:\n",
+        "test_expiries",
+    ),
+    Mutation(
+        7,
+        "an abandoned call is not taken back",
+        f"{NET}/client.py",
+        "await pool.abort(address, connection)",
+        "await pool.discard(address, connection)",
+        "test_client",
+    ),
     Mutation(
         3,
         "a successor does not wait for the lease to end",
         f"{CORE}/handlers/leases.py",
-        "waited >= state.policy.lease_ttl + state.policy.lease_margin",
+        "waited >= policy.lease_ttl + policy.lease_margin",
         "waited >= 0",
         "test_authority",
     ),
