Follow the engines' prefix caches instead of naming one engine for a prefix

The plan assumed a shared prefix in the cache of its rendezvous engine only. When that one was busy, the prefix was read on another engine, and the next request did not know.

Change: PrefixCaches infers what each engine holds from the prompts sent to it (least recently used, the engine's capacity, per incarnation); load reports tell the other hosts, once per prompt. The plan counts the cached tokens of each engine. A prefix that nobody holds still begins at its rendezvous engine. The old way stays as the baseline rendezvous_prefix.

Datagrams of hosts have format 3; hosts of another format ignore each other's load reports while both run.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -24,6 +24,7 @@
     find_placement,
     has_alternative,
     place_decode,
+    record_prompt_use,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.reports import report_load
@@ -276,6 +277,7 @@
     record.prefill_tokens = placement.prefill_tokens
     record.tried_servers.add(placement.server)
     state.get_load(placement.server).start_work(placement.prefill_tokens)
+    record_prompt_use(state, record, placement.server)
     state.reporting.is_dirty = True
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -1,5 +1,7 @@
 """Placement: selects a backend server by the configured policies."""
 
+from collections.abc import Sequence
+
 import attrs
 from xxhash import xxh64_intdigest
 
@@ -11,6 +13,7 @@
     PlanQuery,
     choose_decode_engine,
 )
+from geraniumhall_core.prefixes import PartUse, PromptUse
 from geraniumhall_core.requests import CallerRequest, RequestRecord
 from geraniumhall_core.routing import ROUTING_POLICIES, RoutingQuery, ServerView
 from geraniumhall_core.state import DaemonState
@@ -50,7 +53,7 @@
     """Return the server that decodes after a prefill, or None if there is none."""
     assert record.kv_cache is not None
     names = _list_usable(state, record, now)
-    views = [_build_engine_view(state, name) for name in names]
+    views = [_build_engine_view(state, name, ()) for name in names]
     prefill_server = state.catalogue.servers.get(record.kv_cache.server)
     is_local = prefill_server is not None and _is_local(state, prefill_server)
     chosen = choose_decode_engine(views, is_local)
@@ -113,7 +116,8 @@
         prefill_rate=state.policy.engine_read_rate,
         kv_transfer_rate=engine.link_rate / engine.token_bytes,
     )
-    views = [_build_engine_view(state, name) for name in names]
+    uses = _list_part_uses(request)
+    views = [_build_engine_view(state, name, uses) for name in names]
     plan = PLANNING_POLICIES.find(state.policy.planning)(views, query)
     if plan is None:
         return None
@@ -125,6 +129,37 @@
     )
 
 
+def record_prompt_use(state: DaemonState, record: RequestRecord, server: str) -> None:
+    """Record that an engine gets a request's prompt, to be reported to other hosts."""
+    if record.request.parts:
+        use = PromptUse(server, _list_part_uses(record.request))
+        if add_prompt_use(state, use) and state.policy.peer_address:
+            state.prefix_caches.unreported.append(use)
+
+
+def add_prompt_use(state: DaemonState, use: PromptUse) -> bool:
+    """Add a use to the inferred caches; return False for a server without one."""
+    server = state.catalogue.servers.get(use.server)
+    if server is None:
+        return False
+    engine = state.catalogue.find_service(server.service).engine
+    if engine is None:
+        return False
+    state.prefix_caches.add_use(use, server.started_at, engine.memory_tokens)
+    return True
+
+
+def forget_removed_engines(state: DaemonState) -> None:
+    """Drop the inferred caches of servers that are gone."""
+    engines = state.prefix_caches.engines
+    for name in engines.keys() - state.catalogue.servers.keys():
+        del engines[name]
+
+
+def _list_part_uses(request: CallerRequest) -> tuple[PartUse, ...]:
+    return tuple(PartUse.from_part(part) for part in request.parts)
+
+
 def _hash_shared_prefix(request: CallerRequest) -> int:
     """Return a hash of the last prompt part but one, zero with fewer than two.
 
@@ -140,8 +175,11 @@
     return ServerView(name, load + state.estimate_foreign_work(name).requests)
 
 
-def _build_engine_view(state: DaemonState, name: str) -> EngineView:
+def _build_engine_view(
+    state: DaemonState, name: str, uses: Sequence[PartUse]
+) -> EngineView:
     server = state.catalogue.servers[name]
+    caches = state.prefix_caches
     load = state.get_load(name)
     foreign = state.estimate_foreign_work(name)
     return EngineView(
@@ -151,6 +189,7 @@
         queued_prefill_tokens=load.prefill_tokens + foreign.prompt_tokens,
         requests=load.outstanding + foreign.requests,
         slots=server.slots,
+        cached_tokens=caches.count_cached(name, server.started_at, uses),
     )
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
@@ -5,6 +5,7 @@
 from geraniumhall_core.effects import SendToPeers
 from geraniumhall_core.events import PeerMessageReceived
 from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS, list_peers
+from geraniumhall_core.handlers.placement import add_prompt_use, forget_removed_engines
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_core.state import DaemonState
@@ -19,8 +20,10 @@
 def handle_load_report(
     state: DaemonState, event: PeerMessageReceived, message: LoadReport
 ) -> Iterator[Effect]:
-    """Store the load report of another host."""
+    """Store the load report of another host, and the prompts that it sent."""
     state.reports.update(message, event.at)
+    for use in message.uses:
+        add_prompt_use(state, use)
     yield from ()
 
 
@@ -40,14 +43,19 @@
     reporting.sent_at = now
     reporting.is_dirty = False
     reporting.sequence += 1
+    report = _build_load_report(state)
     peers = tuple(list_peers(state, now).values())
     if peers:
-        yield SendToPeers(addresses=peers, message=_build_load_report(state))
+        yield SendToPeers(addresses=peers, message=report)
 
 
 def expire_reports(state: DaemonState, now: float) -> None:
-    """Drop the reports of hosts that have not sent one for `EXPIRY_SECONDS`."""
+    """Drop the reports of hosts that have not sent one for `EXPIRY_SECONDS`.
+
+    What was inferred of engines that are gone is dropped too.
+    """
     state.reports.expire(now - EXPIRY_SECONDS)
+    forget_removed_engines(state)
 
 
 def _build_load_report(state: DaemonState) -> LoadReport:
@@ -61,4 +69,5 @@
         incarnation=state.policy.incarnation,
         sequence=state.reporting.sequence,
         work=tuple(work),
+        uses=state.prefix_caches.take_unreported(),
     )
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -41,7 +41,7 @@
 
     `queued_prefill_tokens` are prompt tokens whose prefill is pending there;
     `requests` are in progress. `is_local` is true if the engine is in the host's
-    failure domain.
+    failure domain. `cached_tokens` of the prompt are assumed in its prefix cache.
     """
 
     name: str
@@ -50,6 +50,7 @@
     queued_prefill_tokens: float
     requests: float
     slots: int
+    cached_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -104,14 +105,28 @@
 ) -> Plan | None:
     """Take the plan, direct or disaggregated, with the earliest expected first event.
 
-    The engine with the highest rendezvous rank for the shared prefix (Thaler and
-    Ravishankar, 1998) is assumed to have that prefix in its cache.
+    An engine that holds the prompt's prefix needs less time, so requests with the
+    same prefix stay together until the queue there costs more than another
+    prefill elsewhere. As long as no engine holds a shared prefix, it counts as held
+    by the one with the highest rendezvous rank for it (Thaler and Ravishankar,
+    1998), so that all hosts begin with the same engine.
     """
     disaggregated = _plan_disaggregated(engines, query)
     direct = _plan_direct(engines, query)
     return min(disaggregated, direct, key=lambda pair: pair[0])[1]
 
 
+@PLANNING_POLICIES.register("rendezvous_prefix")
+def plan_by_rendezvous(engines: Sequence[EngineView], query: PlanQuery) -> Plan | None:
+    """Plan as `earliest_answer`, without what is known of the prefix caches.
+
+    Only the engine with the highest rendezvous rank counts as holding a prefix.
+    This is the baseline for policies that follow the caches.
+    """
+    unknown = [attrs.evolve(engine, cached_tokens=0) for engine in engines]
+    return plan_earliest_answer(unknown, query)
+
+
 def choose_decode_engine(
     engines: Sequence[EngineView], is_prefill_local: bool
 ) -> EngineView | None:
@@ -200,7 +215,9 @@
 def _find_prefix_owner(
     engines: Sequence[EngineView], query: PlanQuery
 ) -> EngineView | None:
-    if not query.shared_prefix_tokens:
+    """Return the engine to begin a shared prefix with, None once one holds it."""
+    shared = query.shared_prefix_tokens
+    if not shared or any(engine.cached_tokens >= shared for engine in engines):
         return None
     return max(
         engines,
@@ -215,7 +232,9 @@
 
     Attention makes a token cost more with the number of tokens before it.
     """
-    cached = query.shared_prefix_tokens if engine is prefix_owner else 0
+    cached = min(engine.cached_tokens, query.prompt_tokens)
+    if engine is prefix_owner:
+        cached = max(cached, query.shared_prefix_tokens)
     uncached = query.prompt_tokens - cached
     preceding = query.prompt_tokens - uncached / 2
     return int(uncached * (1 + preceding / ATTENTION_DOUBLING_TOKENS))
--- a/packages/geraniumhall-core/src/geraniumhall_core/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/reports.py
@@ -2,11 +2,13 @@
 
 Whenever its work has changed, a host sends all of it in one datagram. The newest
 report of a host replaces its earlier ones, so that lost, repeated or reordered
-datagrams do no harm. Reports only guide routing; no guarantee depends on them.
+datagrams do no harm. Prompts sent to engines are reported once. Reports only guide
+routing; no guarantee depends on them.
 """
 
 import attrs
 
+from geraniumhall_core.prefixes import PromptUse
 from geraniumhall_core.server_load import ForeignWork
 
 
@@ -24,12 +26,16 @@
 
 @attrs.frozen(kw_only=True)
 class LoadReport:
-    """A host's work at all servers; `sequence` increases with every report."""
+    """A host's work at all servers; `sequence` increases with every report.
+
+    `uses` are the prompts that it sent to engines since its last report.
+    """
 
     host: str
     incarnation: int
     sequence: int
     work: tuple[ServerWork, ...] = ()
+    uses: tuple[PromptUse, ...] = ()
 
     @property
     def sort_key(self) -> tuple[int, int]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -13,6 +13,7 @@
 from geraniumhall_core.orders import OrderState
 from geraniumhall_core.platform import Feed
 from geraniumhall_core.policy import Policy
+from geraniumhall_core.prefixes import PrefixCaches
 from geraniumhall_core.records import VersionedRecord
 from geraniumhall_core.reports import ReportingState, ReportsView
 from geraniumhall_core.requests import RequestRecord
@@ -197,6 +198,7 @@
     requests: dict[str, RequestRecord] = attrs.field(factory=dict)
     queues: dict[str, EntryQueue] = attrs.field(factory=dict)
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
+    prefix_caches: PrefixCaches = attrs.field(factory=PrefixCaches)
     round_robin_index: int = 0
     lease: LeaseState = attrs.field(factory=LeaseState)
     orders: dict[str, OrderState] = attrs.field(factory=dict)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -14,11 +14,12 @@
 
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.peers import PeerMessage
+from geraniumhall_core.prefixes import PartUse, PromptUse
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
 
-FORMAT_VERSION = 2
+FORMAT_VERSION = 3
 MESSAGE_NAMES = {LoadReport: "load", LoanRequest: "ask", Loan: "loan"}
 
 MessageDecoder = Callable[[list[Any]], PeerMessage]
@@ -48,7 +49,7 @@
 @MESSAGE_DECODERS.register("load")
 def decode_load_report(fields: list[Any]) -> LoadReport:
     """Decode a load report."""
-    host, incarnation, sequence, work = fields
+    host, incarnation, sequence, work, uses = fields
     return LoadReport(
         host=str(host),
         incarnation=int(incarnation),
@@ -57,6 +58,7 @@
             ServerWork(str(server), int(requests), int(tokens))
             for server, requests, tokens in work
         ),
+        uses=tuple(_decode_use(server, parts) for server, parts in uses),
     )
 
 
@@ -85,6 +87,18 @@
     )
 
 
+def _decode_use(server: Any, parts: Any) -> PromptUse:
+    uses = tuple(PartUse(int(key), _parse_tokens(tokens)) for key, tokens in parts)
+    return PromptUse(str(server), uses)
+
+
+def _parse_tokens(value: Any) -> int:
+    tokens = int(value)
+    if tokens < 0:
+        raise ValueError(f"token count {tokens!r}, expected a number >= 0")
+    return tokens
+
+
 def _parse_amount(value: Any) -> float:
     amount = float(value)
     if not 0.0 <= amount < float("inf"):
--- a/packages/geraniumhall-wire/tests/test_peers.py
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -7,6 +7,7 @@
 
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.peers import PeerMessage
+from geraniumhall_core.prefixes import PartUse, PromptUse
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_wire.converter import InvalidDataError
 from geraniumhall_wire.peers import (
@@ -19,6 +20,12 @@
 MESSAGES: tuple[PeerMessage, ...] = (
     LoadReport(host="h1", incarnation=7 << 40, sequence=5, work=WORK),
     LoadReport(host="h1", incarnation=1, sequence=1),
+    LoadReport(
+        host="h1",
+        incarnation=1,
+        sequence=2,
+        uses=(PromptUse("e1", (PartUse(7, 900), PartUse(2**32 - 1, 40))),),
+    ),
     LoanRequest(
         host="h1", address="10.0.0.1:7", workspace="audit", amount=5.5, number=2
     ),
@@ -48,6 +55,20 @@
         )
         self.assertLess(size, 2 * 20)
 
+    def test_reported_prompt_is_small(self) -> None:
+        """A prompt of two parts needs less than 32 bytes in a report."""
+        size = len(encode_peer_message(MESSAGES[2])) - len(
+            encode_peer_message(MESSAGES[1])
+        )
+        self.assertLess(size, 32)
+
+    def test_negative_token_counts_are_rejected(self) -> None:
+        """A part of fewer than no tokens would let a cache grow without a bound."""
+        use = PromptUse("e1", (PartUse(7, -1),))
+        report = LoadReport(host="h1", incarnation=1, sequence=1, uses=(use,))
+        with self.assertRaises(InvalidDataError):
+            decode_peer_message(encode_peer_message(report))
+
     def test_amounts_must_be_finite_and_not_negative(self) -> None:
         """A loan of a negative, infinite or undefined amount is rejected."""
         for amount in (-1.0, float("nan"), float("inf")):
