Count the memory that requests take on an engine

Change: load reports carry the tokens that requests in progress keep in memory; an engine that has no room for a request costs the time until others end. The choice of the decoding engine counts it too.

Ruled out: network and transfer (the waits are at engines of all domains), preemption (none), slots.

Tokens of prompts that share a prefix are counted for each request, so that memory counts as full a little early.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -276,7 +276,8 @@
     record.server = placement.server
     record.prefill_tokens = placement.prefill_tokens
     record.tried_servers.add(placement.server)
-    state.get_load(placement.server).start_work(placement.prefill_tokens)
+    load = state.get_load(placement.server)
+    load.start_work(placement.prefill_tokens, record.request.memory_tokens)
     record_prompt_use(state, record, placement.server)
     state.reporting.is_dirty = True
 
@@ -292,7 +293,7 @@
 ) -> None:
     _finish_prefill(state, record)
     load = state.get_load(record.server)
-    load.finish_work()
+    load.finish_work(record.request.memory_tokens)
     if outcome is AttemptOutcome.COMPLETED:
         load.record_success()
     elif outcome in SERVER_FAULT_OUTCOMES:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -56,7 +56,7 @@
     views = [_build_engine_view(state, name, ()) for name in names]
     prefill_server = state.catalogue.servers.get(record.kv_cache.server)
     is_local = prefill_server is not None and _is_local(state, prefill_server)
-    chosen = choose_decode_engine(views, is_local)
+    chosen = choose_decode_engine(views, is_local, record.request.memory_tokens)
     return Placement(server=chosen.name) if chosen else None
 
 
@@ -115,6 +115,7 @@
         shared_prefix_hash=_hash_shared_prefix(request),
         prefill_rate=state.policy.engine_read_rate,
         kv_transfer_rate=engine.link_rate / engine.token_bytes,
+        memory_tokens=request.memory_tokens,
     )
     uses = _list_part_uses(request)
     views = [_build_engine_view(state, name, uses) for name in names]
@@ -180,6 +181,7 @@
 ) -> EngineView:
     server = state.catalogue.servers[name]
     caches = state.prefix_caches
+    engine = state.catalogue.find_service(server.service).engine
     load = state.get_load(name)
     foreign = state.estimate_foreign_work(name)
     return EngineView(
@@ -190,6 +192,8 @@
         requests=load.outstanding + foreign.requests,
         slots=server.slots,
         cached_tokens=caches.count_cached(name, server.started_at, uses),
+        memory_tokens=load.memory_tokens + foreign.memory_tokens,
+        memory_capacity=engine.memory_tokens if engine else 0,
     )
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
@@ -60,7 +60,7 @@
 
 def _build_load_report(state: DaemonState) -> LoadReport:
     work = [
-        ServerWork(name, load.outstanding, load.prefill_tokens)
+        ServerWork(name, load.outstanding, load.prefill_tokens, load.memory_tokens)
         for name, load in state.loads.items()
         if load.outstanding > 0
     ]
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -29,6 +29,9 @@
 KV_TRANSFER_OVERHEAD_SECONDS = 0.020  # for a transfer of any size
 RUNNING_REQUEST_DELAY_SECONDS = 0.0005  # for each running request
 FULL_SLOTS_DELAY_SECONDS = 0.5  # if no slot is free
+# A request that does not fit into an engine's memory waits for others to end.
+FULL_MEMORY_DELAY_SECONDS = 1.0  # for each time that the memory is filled
+USABLE_MEMORY_FRACTION = 0.85  # the rest is for work that is not reported yet
 # Each running request adds this fraction to the cost of prefill on its engine.
 PREFILL_INTERFERENCE_FACTOR = 0.05
 # Prefill of a token behind this many others costs twice that of the first token.
@@ -42,6 +45,8 @@
     `queued_prefill_tokens` are prompt tokens whose prefill is pending there;
     `requests` are in progress. `is_local` is true if the engine is in the host's
     failure domain. `cached_tokens` of the prompt are assumed in its prefix cache.
+    The requests in progress take `memory_tokens` of its `memory_capacity`, also in
+    tokens; with a capacity of zero its memory never counts as full.
     """
 
     name: str
@@ -51,12 +56,15 @@
     requests: float
     slots: int
     cached_tokens: int = 0
+    memory_tokens: float = 0
+    memory_capacity: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class PlanQuery:
     """The inputs of a plan.
 
+    The request takes `memory_tokens` of an engine's memory.
     `shared_prefix_tokens` of the `prompt_tokens` are in parts that other requests
     may share; `shared_prefix_hash` is a hash of the last of these parts.
     `prefill_rate` is that of a prefill engine and `kv_transfer_rate` that of a
@@ -68,6 +76,7 @@
     shared_prefix_hash: int
     prefill_rate: float
     kv_transfer_rate: float
+    memory_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -128,9 +137,12 @@
 
 
 def choose_decode_engine(
-    engines: Sequence[EngineView], is_prefill_local: bool
+    engines: Sequence[EngineView], is_prefill_local: bool, memory_tokens: int
 ) -> EngineView | None:
-    """Return the engine that decodes from a transferred KV cache, or None."""
+    """Return the engine that decodes from a transferred KV cache, or None.
+
+    The request takes `memory_tokens` of the engine's memory.
+    """
     decode_engines = [
         engine for engine in engines if engine.role is not ServerRole.PREFILL
     ]
@@ -141,7 +153,7 @@
         network_delay = (
             0.0 if engine.is_local == is_prefill_local else CROSS_DOMAIN_LATENCY_SECONDS
         )
-        return _estimate_running_delay(engine) + network_delay
+        return _estimate_running_delay(engine, memory_tokens) + network_delay
 
     return min(decode_engines, key=estimate)
 
@@ -161,7 +173,10 @@
     transfer = (
         KV_TRANSFER_OVERHEAD_SECONDS + query.prompt_tokens / query.kv_transfer_rate
     )
-    running_delay = min(_estimate_running_delay(engine) for engine in decode_engines)
+    running_delay = min(
+        _estimate_running_delay(engine, query.memory_tokens)
+        for engine in decode_engines
+    )
 
     def estimate(engine: EngineView) -> float:
         prefill_tokens = _estimate_prefill_tokens(engine, prefix_owner, query)
@@ -195,7 +210,8 @@
         prefill = (engine.queued_prefill_tokens + prefill_tokens) / rate
         prefill += prefill_tokens / rate * engine.requests * PREFILL_INTERFERENCE_FACTOR
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
-        return prefill + _estimate_running_delay(engine) + network_delay
+        running_delay = _estimate_running_delay(engine, query.memory_tokens)
+        return prefill + running_delay + network_delay
 
     best = min(decode_engines, key=estimate)
     expected_seconds = estimate(best)
@@ -206,10 +222,16 @@
     )
 
 
-def _estimate_running_delay(engine: EngineView) -> float:
+def _estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
     """Return the delay of a new request by running ones, in seconds."""
     delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS
-    return delay + FULL_SLOTS_DELAY_SECONDS * (engine.requests >= engine.slots > 0)
+    if engine.requests >= engine.slots > 0:
+        delay += FULL_SLOTS_DELAY_SECONDS
+    usable = engine.memory_capacity * USABLE_MEMORY_FRACTION
+    needed = engine.memory_tokens + memory_tokens
+    if engine.memory_tokens and needed > usable > 0:
+        delay += FULL_MEMORY_DELAY_SECONDS * needed / usable
+    return delay
 
 
 def _find_prefix_owner(
--- a/packages/geraniumhall-core/src/geraniumhall_core/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/reports.py
@@ -9,19 +9,21 @@
 import attrs
 
 from geraniumhall_core.prefixes import PromptUse
-from geraniumhall_core.server_load import ForeignWork
+from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork
 
 
 @attrs.frozen
 class ServerWork:
     """A host's own work in progress at a backend server.
 
-    `prompt_tokens` are those whose prefill is still pending.
+    `prompt_tokens` are those whose prefill is still pending, and `memory_tokens`
+    those that the requests keep in memory.
     """
 
     server: str
     requests: int
     prompt_tokens: int
+    memory_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -77,13 +79,13 @@
 
     def _add_to_totals(self, report: LoadReport, sign: int) -> None:
         for work in report.work:
-            known = self.totals.get(work.server, ForeignWork())
-            total = ForeignWork(
-                known.requests + sign * work.requests,
-                known.prompt_tokens + sign * work.prompt_tokens,
+            reported = ForeignWork(
+                work.requests, work.prompt_tokens, work.memory_tokens
             )
+            known = self.totals.get(work.server, NO_FOREIGN_WORK)
+            total = known.add(reported, sign)
             self.totals[work.server] = total
-            if total == ForeignWork():
+            if total == NO_FOREIGN_WORK:
                 del self.totals[work.server]
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -68,6 +68,11 @@
     parts: tuple[PromptPart, ...] = ()
     timeout: float | None = None
 
+    @property
+    def memory_tokens(self) -> int:
+        """The most tokens that the request takes in an engine's memory."""
+        return self.prompt_tokens + self.max_tokens
+
 
 class Phase(Enum):
     """The phase of an accepted request."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/server_load.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/server_load.py
@@ -8,7 +8,8 @@
     """This host's work in progress on a backend server, and its recent failures.
 
     `outstanding` counts requests in progress, and `failures` counts failures in a
-    row. `prefill_tokens` are prompt tokens whose prefill is still pending. After a
+    row. `prefill_tokens` are prompt tokens whose prefill is still pending, and
+    `memory_tokens` those that the requests in progress keep in memory. After a
     failure the server gets no new work until `suspended_until`, in seconds on the
     host's clock, unless no other server can take it. `incarnation` is the start
     time of the server process that the failures belong to.
@@ -17,21 +18,24 @@
     incarnation: int = 0
     outstanding: int = 0
     prefill_tokens: int = 0
+    memory_tokens: int = 0
     failures: int = 0
     suspended_until: float = float("-inf")
 
-    def start_work(self, prefill_tokens: int) -> None:
+    def start_work(self, prefill_tokens: int, memory_tokens: int) -> None:
         """Count a request that is sent to the server."""
         self.outstanding += 1
         self.prefill_tokens += prefill_tokens
+        self.memory_tokens += memory_tokens
 
     def finish_prefill(self, prefill_tokens: int) -> None:
         """Subtract a request's prompt tokens once its prefill is done."""
         self.prefill_tokens -= prefill_tokens
 
-    def finish_work(self) -> None:
+    def finish_work(self, memory_tokens: int) -> None:
         """Stop counting a request that has ended on the server."""
         self.outstanding -= 1
+        self.memory_tokens -= memory_tokens
 
     def update_incarnation(self, started_at: int) -> None:
         """Clear the failures if the server process has been restarted."""
@@ -63,15 +67,25 @@
 class ForeignWork:
     """Work of all other hosts in progress at a server, by their load reports.
 
-    `prompt_tokens` are those whose prefill is still pending.
+    `prompt_tokens` are those whose prefill is still pending, and `memory_tokens`
+    those that the requests keep in memory.
     """
 
     requests: float = 0
     prompt_tokens: float = 0
+    memory_tokens: float = 0
+
+    def add(self, other: "ForeignWork", factor: float) -> "ForeignWork":
+        """Return the sum with `other` multiplied by `factor`."""
+        return ForeignWork(
+            self.requests + other.requests * factor,
+            self.prompt_tokens + other.prompt_tokens * factor,
+            self.memory_tokens + other.memory_tokens * factor,
+        )
 
     def scale(self, factor: float) -> "ForeignWork":
         """Return the work multiplied by `factor`."""
-        return ForeignWork(self.requests * factor, self.prompt_tokens * factor)
+        return NO_FOREIGN_WORK.add(self, factor)
 
 
 NO_FOREIGN_WORK = ForeignWork()
--- a/packages/geraniumhall-core/tests/test_planning.py
+++ b/packages/geraniumhall-core/tests/test_planning.py
@@ -103,9 +103,35 @@
         """A KV transfer within the prefill engine's failure domain is faster."""
         far = build_engine("d1", ServerRole.DECODE, is_local=False)
         near = build_engine("d2", ServerRole.DECODE)
-        self.assertEqual(choose_decode_engine([far, near], True).name, "d2")
-        self.assertEqual(choose_decode_engine([far, near], False).name, "d1")
+        self.assertEqual(choose_decode_engine([far, near], True, 100).name, "d2")
+        self.assertEqual(choose_decode_engine([far, near], False, 100).name, "d1")
 
     def test_prefill_engine_is_never_chosen(self) -> None:
         """An engine in the prefill role is not a candidate for decode."""
-        self.assertIsNone(choose_decode_engine([PREFILL_ENGINE], True))
+        self.assertIsNone(choose_decode_engine([PREFILL_ENGINE], True, 100))
+
+    def test_engine_with_full_memory_is_skipped(self) -> None:
+        """A long prompt waits for memory though the engine has free slots."""
+        full = build_engine(
+            "d1", ServerRole.DECODE, memory_tokens=80_000, memory_capacity=100_000
+        )
+        busy = build_engine(
+            "d2",
+            ServerRole.DECODE,
+            is_local=False,
+            requests=40,
+            memory_tokens=40_000,
+            memory_capacity=100_000,
+        )
+        self.assertEqual(choose_decode_engine([full, busy], True, 17_000).name, "d2")
+        self.assertEqual(choose_decode_engine([full, busy], True, 1_000).name, "d1")
+
+    def test_least_full_engine_is_taken_when_all_are_full(self) -> None:
+        """Among engines without room the one that gets room first is taken."""
+        engines = [
+            build_engine(
+                name, ServerRole.DECODE, memory_tokens=used, memory_capacity=100_000
+            )
+            for name, used in (("d1", 150_000), ("d2", 95_000))
+        ]
+        self.assertEqual(choose_decode_engine(engines, True, 17_000).name, "d2")
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -55,8 +55,8 @@
         incarnation=int(incarnation),
         sequence=int(sequence),
         work=tuple(
-            ServerWork(str(server), int(requests), int(tokens))
-            for server, requests, tokens in work
+            ServerWork(str(server), int(requests), int(prompt), int(memory))
+            for server, requests, prompt, memory in work
         ),
         uses=tuple(_decode_use(server, parts) for server, parts in uses),
     )
