Confirm the copy by the end of a watch that waited in vain, and read less often

Change: a watch that was answered without changes after its whole wait confirms the copy as of the end of the wait, since the store answers it earlier only with a change. The watch of the configuration can so stay open for 2 s with the same age of keys and limits; after a failure the first watch is a short one. The pause between reads of the servers follows the drain bound of the platform (0.4 of it, as before at 2 s).

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -1,8 +1,9 @@
 """Keeps the host's copy of the platform's objects in sync, feed by feed.
 
 Each feed is listed once and then watched. Every answer confirms the copy as of
-the time at which the call was made. The feeds update the catalogue, the records
-of other hosts, the control lease and the usage seals.
+the time at which the call was made; a watch that waited in vain confirms it as of
+the end of its wait. The feeds update the catalogue, the records of other hosts, the
+control lease and the usage seals.
 """
 
 from collections.abc import Iterator
@@ -42,9 +43,15 @@
 from geraniumhall_core.retries import compute_backoff
 from geraniumhall_core.state import DaemonState, FeedState
 
+CONFIGURATION_WAIT_FACTOR = 2.0
 SERVERS_WAIT_FACTOR = 3.0
+WAIT_FACTORS = {
+    Feed.CONFIGURATION: CONFIGURATION_WAIT_FACTOR,
+    Feed.SERVERS: SERVERS_WAIT_FACTOR,
+    Feed.RECORDS: 1.0,
+}
+RECONFIRM_WAIT_SECONDS = 0.05  # after a failure
 SERVERS_PAUSE_SECONDS = 0.5
-SERVERS_MAX_PAUSE_SECONDS = 0.8
 KINDS_BY_FEED = {
     Feed.CONFIGURATION: (CONFIGURATION_KIND,),
     Feed.SERVERS: (REGISTERED_SERVER_KIND,),
@@ -76,7 +83,7 @@
     if purpose.feed is Feed.RECORDS and not feed.has_synced:
         restore_from_record(state, answer, event.at)
     since = feed.confirmed_at
-    feed.confirmed_at = max(feed.confirmed_at, event.called_at)
+    feed.confirmed_at = max(feed.confirmed_at, _date_answer(event, purpose))
     feed.revision = max(feed.revision, answer.revision)
     yield from _apply_answer(state, purpose.feed, answer, event.at, since)
     if not state.has_buckets:
@@ -99,10 +106,22 @@
 
 def _request_feed(state: DaemonState, feed: Feed, delay: float = 0.0) -> CallPlatform:
     message: PlatformMessage = ListObjects(feed)
-    revision = state.feeds[feed].revision
+    revision, wait = state.feeds[feed].revision, 0.0
     if revision:
-        message = WatchObjects(feed, revision, _choose_watch_wait(state, feed))
-    return CallPlatform(purpose=FollowFeed(feed), message=message, delay=delay)
+        wait = _choose_watch_wait(state, feed)
+        message = WatchObjects(feed, revision, wait)
+    return CallPlatform(purpose=FollowFeed(feed, wait), message=message, delay=delay)
+
+
+def _date_answer(event: PlatformAnswered, purpose: FollowFeed) -> float:
+    """Return the time as of which an answer confirms the copy.
+
+    The store answers a watch without changes only once its wait is over, which is
+    not before the wait has passed since the call.
+    """
+    ended_at = event.called_at + purpose.wait
+    is_empty = isinstance(event.answer, Changes) and not event.answer.changes
+    return ended_at if is_empty and event.at >= ended_at else event.called_at
 
 
 def _record_contact(state: DaemonState, event: PlatformAnswered) -> None:
@@ -209,11 +228,13 @@
 def _choose_watch_wait(state: DaemonState, feed: Feed) -> float:
     """Return for how many seconds the platform may hold a watch open.
 
-    Keys and limits have to be confirmed regularly. The list of servers does
-    not, so its watch stays open longer and ends only to detect a lost connection.
+    Keys and limits have to be confirmed regularly, and at once after a failure.
+    The list of servers does not, so its watch stays open longer and ends only to
+    detect a lost connection.
     """
-    factor = SERVERS_WAIT_FACTOR if feed is Feed.SERVERS else 1.0
-    return state.policy.watch_wait * factor
+    if state.feeds[feed].failures:
+        return RECONFIRM_WAIT_SECONDS
+    return state.policy.watch_wait * WAIT_FACTORS[feed]
 
 
 def _choose_pause(state: DaemonState, feed: Feed, event: PlatformAnswered) -> float:
@@ -227,7 +248,7 @@
     if feed is Feed.SERVERS:
         pause = min(
             (state.interval_factor - 1) * SERVERS_PAUSE_SECONDS,
-            SERVERS_MAX_PAUSE_SECONDS,
+            state.policy.servers_max_pause,
         )
     elif feed is Feed.RECORDS:
         pause = state.policy.publish_interval
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -28,6 +28,7 @@
     stale_after: float = 5.0
     unready_after: float = 3.0
     watch_wait: float = 1.0
+    servers_max_pause: float = 0.8
     publish_interval: float = 1.0
     host_silence: float = 4.0
     rate_tolerance: RateTolerance = RateTolerance()
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -19,9 +19,10 @@
 
 @attrs.frozen
 class FollowFeed(Purpose):
-    """Update the host's copy of a feed."""
+    """Update the host's copy of a feed by a watch of `wait` seconds, or a listing."""
 
     feed: Feed
+    wait: float = 0.0
 
 
 @attrs.frozen
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -4,6 +4,7 @@
 
 import attrs
 from builders import (
+    LISTED_AT,
     apply_feed_answer,
     build_answer,
     build_arrival,
@@ -61,7 +62,7 @@
     def test_watch_continues_after_the_revision(self) -> None:
         """The next watch starts at the revision of the answer."""
         message = self.answer(Changes(120, ())).message
-        self.assertEqual(message, WatchObjects(Feed.CONFIGURATION, 120, 1.0))
+        self.assertEqual(message, WatchObjects(Feed.CONFIGURATION, 120, 2.0))
 
     def test_failure_backs_off(self) -> None:
         """A failed watch is repeated after a backoff."""
@@ -87,29 +88,73 @@
         self.assertEqual(state.compute_catalogue_age(4.0), 0.0)
 
 
+class ConfirmationTest(unittest.TestCase):
+    """An answer confirms the copy as of a time at which it is known to be current."""
+
+    def confirm(self, answer: object, wait: float, seconds: float) -> float:
+        """Return the copy's age after an answer that took `seconds`."""
+        state = build_state()
+        purpose = FollowFeed(Feed.CONFIGURATION, wait)
+        event = build_answer(purpose, answer, at=10.0 + seconds)
+        apply_feed_answer(state, Feed.RECORDS, Changes(120, ()), at=10.0 + seconds)
+        reduce(state, attrs.evolve(event, called_at=10.0))
+        return state.compute_catalogue_age(10.0 + seconds)
+
+    def test_empty_watch_confirms_as_of_its_end(self) -> None:
+        """A watch that waited in vain shows that nothing changed while it waited."""
+        age = self.confirm(Changes(120, ()), wait=2.0, seconds=2.1)
+        self.assertAlmostEqual(age, 0.1)
+
+    def test_early_answer_confirms_as_of_the_call(self) -> None:
+        """An answer before the end of the wait may be older than its arrival."""
+        self.assertAlmostEqual(self.confirm(Changes(120, ()), 2.0, 1.9), 1.9)
+
+    def test_change_confirms_as_of_the_call(self) -> None:
+        """Changes may have been read right after the call arrived."""
+        change = VersionedRecord(ObjectKey("workspace", "new"), 121, Workspace())
+        self.assertAlmostEqual(self.confirm(Changes(121, (change,)), 2.0, 2.1), 2.1)
+
+    def test_listing_confirms_as_of_the_call(self) -> None:
+        """A listing may have been read right after the call arrived."""
+        self.assertAlmostEqual(self.confirm(Listing(121, ()), 0.0, 0.4), 0.4)
+
+    def test_lost_watch_is_confirmed_at_once(self) -> None:
+        """After a failure the copy is confirmed without another long wait."""
+        state = build_state()
+        effects = apply_feed_answer(state, Feed.CONFIGURATION, DOWN)
+        self.assertLessEqual(find_effect(effects, CallPlatform).message.wait, 0.1)
+
+
 class ReadIntervalTest(unittest.TestCase):
     """A host stays ready between reads of its feeds, for any number of hosts."""
 
     def compute_longest_age(self, feed: Feed, hosts: int) -> float:
         """Return the longest age of a copy before it is confirmed again.
 
-        A watch without changes confirms the copy as of when the watch was sent.
+        The answers come as late as the waits allow, without changes.
         """
         state = build_state()
         state.live_hosts = hosts
-        call = find_effect(
-            apply_feed_answer(state, feed, Changes(120, ())), CallPlatform
-        )
-        wait = call.message.wait
-        return max(call.delay, wait) + wait
+        now, longest = LISTED_AT, 0.0
+        effects = apply_feed_answer(state, feed, Changes(120, ()))
+        for _ in range(8):
+            call = find_effect(effects, CallPlatform)
+            called_at = now + call.delay
+            now = called_at + call.message.wait
+            longest = max(longest, now - state.feeds[feed].confirmed_at)
+            event = build_answer(call.purpose, Changes(120, ()), at=now)
+            effects = reduce(state, attrs.evolve(event, called_at=called_at))
+        return longest
 
     def test_copies_are_confirmed_in_time(self) -> None:
-        """Configuration and records are confirmed before the host becomes unready."""
+        """Configuration and records are confirmed before the host becomes unready.
+
+        The readiness bound is that of a revocation bound of 5 s.
+        """
         for feed in (Feed.CONFIGURATION, Feed.RECORDS):
             for hosts in (1, 9, 79, 590):
                 with self.subTest(feed=feed, hosts=hosts):
-                    age = self.compute_longest_age(feed, hosts)
-                    self.assertLessEqual(age, build_state().policy.unready_after)
+                    self.assertLessEqual(self.compute_longest_age(feed, hosts), 2.5)
 
     def test_many_hosts_batch_changes_of_servers(self) -> None:
         """With 79 hosts the next watch is delayed, with nine it is not."""
@@ -120,6 +165,27 @@
             delay = find_effect(effects, CallPlatform).delay
             self.assertEqual(delay > 0, waits)
 
+    def test_servers_that_leave_are_known_in_time(self) -> None:
+        """No pause takes more than half of the time until a leave must be known."""
+        for bound in (1.0, 2.0, 4.0):
+            for hosts in (9, 79, 195, 590):
+                with self.subTest(bound=bound, hosts=hosts):
+                    state = build_state(policy={"servers_max_pause": bound * 0.4})
+                    state.live_hosts = hosts
+                    effects = apply_feed_answer(state, Feed.SERVERS, Changes(120, ()))
+                    delay = find_effect(effects, CallPlatform).delay
+                    self.assertLessEqual(delay, bound / 2)
+
+    def test_longer_bound_allows_longer_pauses(self) -> None:
+        """With 195 hosts fewer calls are made where leaves may be known later."""
+        delays = []
+        for pause in (0.8, 1.6):
+            state = build_state(policy={"servers_max_pause": pause})
+            state.live_hosts = 195
+            effects = apply_feed_answer(state, Feed.SERVERS, Changes(120, ()))
+            delays.append(find_effect(effects, CallPlatform).delay)
+        self.assertEqual(delays, [0.8, 1.6])
+
 
 class HostRecordTest(unittest.TestCase):
     """A change of another host's demand is dated by the previous read of the feed."""
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -30,6 +30,7 @@
 RETRY_BUDGET_FRACTION = 0.6  # of the ratio and slack of retries
 # A registration expires three heartbeats after one, so at least two must be missed.
 MIN_LAPSE_HEARTBEATS = 2
+SERVERS_PAUSE_FRACTION = 0.4  # of the drain bound; a call and a request need the rest
 DRAIN_GRACE_FRACTION = 0.35  # of the grace, given to load balancers to notice
 
 
@@ -140,13 +141,15 @@
     registrations every `heartbeat`, and these expire after three intervals of
     silence. Servers can't renew them during an outage of the store, so a
     registration that expired in it is kept for `lapse_grace` after it, in which
-    the server may renew it.
+    the server may renew it. A server that leaves must get no new requests later
+    than `drain_bound` after it said so.
     """
 
     revocation_bound: Seconds = Seconds(5.0)
     watch_wait: Seconds = Seconds(1.0)
     lapse_grace: Seconds = Seconds(2.0)
     heartbeat: Seconds = Seconds(1.2)
+    drain_bound: Seconds = Seconds(2.0)
 
 
 @attrs.frozen(kw_only=True)
@@ -366,6 +369,7 @@
             stale_after=bound * STALE_AFTER_FRACTION,
             unready_after=bound * UNREADY_AFTER_FRACTION,
             watch_wait=self.catalogue.watch_wait,
+            servers_max_pause=self.catalogue.drain_bound * SERVERS_PAUSE_FRACTION,
             lapse_grace=self.catalogue.lapse_grace,
             min_lapse_outage=self.catalogue.heartbeat * MIN_LAPSE_HEARTBEATS,
             publish_interval=self.hosts.publish_interval,
--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -73,6 +73,14 @@
         "return True",
         "test_attempts",
     ),
+    Mutation(
+        6,
+        "an early answer confirms the copy as of the end of the wait",
+        f"{CORE}/handlers/feeds.py",
+        "return ended_at if is_empty and event.at >= ended_at else event.called_at",
+        "return ended_at if is_empty else event.called_at",
+        "test_feeds",
+    ),
     Mutation(
         13,
         "deletions are deferred after every lost call",
