--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -82,6 +82,7 @@
             LogField("request", event.request.request_id),
             LogField("caller_id", event.request.caller_id),
             *_build_refusal_fields(refusal),
+            LogField("tokens", event.request.memory_tokens),
             LogField("catalogue_age", round(age, 3)),
         ),
     )
@@ -97,6 +98,7 @@
             LogField("caller_id", record.request.caller_id),
             LogField("entry", record.entry),
             *_build_refusal_fields(refusal),
+            LogField("tokens", record.request.memory_tokens),
             LogField("verdict", refusal.verdict.value),
             LogField("attempts", record.attempts),
         ),
