--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -21,6 +21,8 @@
 from geraniumhall_wire.settings import split_address
 
 RECEIVE_BYTES = 65536  # at most, in one read
+MAX_FETCHED_BYTES = 16 * 2**20  # of a body that is read as a whole
+MAX_INFORMATIONAL_HEADS = 16  # before the final response
 BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE"})
 KEEP_ALIVE_PATTERN = compile_pattern(rb"timeout=(\d+)")
 KEEP_ALIVE_FRACTION = 0.7  # of the server's keep-alive timeout
@@ -122,8 +124,11 @@
             raise ExchangeFailedError(f"sending failed: {error}") from error
 
     async def read_head(self) -> ResponseHead:
-        """Return the head of the final response; raises `ExchangeFailedError`."""
-        while True:
+        """Return the head of the final response; raises `ExchangeFailedError`.
+
+        At most `MAX_INFORMATIONAL_HEADS` heads may precede it.
+        """
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 head = ResponseHead(
@@ -131,6 +136,9 @@
                 )
                 self._apply_keep_alive(head)
                 return head
+        raise ExchangeFailedError(
+            f"more than {MAX_INFORMATIONAL_HEADS} informational responses"
+        )
 
     async def read_chunk(self) -> bytes | None:
         """Return the next part of the body, or None at its end.
@@ -151,10 +159,17 @@
         return b"".join(pieces) if pieces else None
 
     async def read_body(self) -> bytes:
-        """Return the complete body; raises `ExchangeFailedError`."""
+        """Return the complete body, of at most `MAX_FETCHED_BYTES`.
+
+        Raises `ExchangeFailedError` for a longer one too.
+        """
         pieces = []
+        size = 0
         while (chunk := await self.read_chunk()) is not None:
             pieces.append(chunk)
+            size += len(chunk)
+            if size > MAX_FETCHED_BYTES:
+                raise ExchangeFailedError(f"a body over {MAX_FETCHED_BYTES} bytes")
         return b"".join(pieces)
 
     def start_next_cycle(self) -> bool:
--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -169,6 +169,14 @@
         "        if False:\n",
         "test_expiries",
     ),
+    Mutation(
+        10,
+        "a body without end is read on",
+        f"{NET}/client.py",
+        "            if size > MAX_FETCHED_BYTES:\n",
+        "            if False:\n",
+        "test_endless",
+    ),
     Mutation(
         7,
         "an abandoned call is not taken back",
