Answer clients that wait to be accepted when a listener stops

Cause: at the end of a drain's grace the listening socket is closed, and the kernel then resets the connections that it has accepted for us already.

--- a/packages/geraniumhall-net/src/geraniumhall_net/listener.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/listener.py
@@ -1,5 +1,6 @@
 """TCP listeners with a limit on open connections."""
 
+import select
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -43,10 +44,16 @@
         return f"{host}:{port}"
 
     async def serve(self, nursery: trio.Nursery) -> None:
-        """Accept connections until stopped; handle each in a task of `nursery`."""
+        """Accept connections until stopped; handle each in a task of `nursery`.
+
+        Connections that wait in the kernel's queue at the stop are still handled,
+        since closing the listening socket resets them.
+        """
         with self._accept_scope:
             while True:
                 await self._accept_one(nursery)
+        while self._has_waiting_connection():
+            await self._accept_one(nursery)
         for listener in self._listeners:
             await listener.aclose()
 
@@ -54,6 +61,11 @@
         """Stop accepting connections; open connections are not affected."""
         self._accept_scope.cancel()
 
+    def _has_waiting_connection(self) -> bool:
+        poller = select.poll()
+        poller.register(self._listeners[0].socket.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     async def _accept_one(self, nursery: trio.Nursery) -> None:
         token = object()
         await self._connection_limiter.acquire_on_behalf_of(token)
--- /dev/null
+++ b/packages/geraniumhall-net/tests/test_listener.py
@@ -0,0 +1,71 @@
+"""Tests of listeners over real sockets."""
+
+import unittest
+
+import trio
+
+from geraniumhall_net.listener import Listener
+
+WAITING_CLIENTS = 5
+SERVING_SECONDS = 0.02
+
+
+async def answer(stream: trio.SocketStream) -> None:
+    """Answer one request of a client."""
+    data = await stream.receive_some(100)
+    await trio.sleep(SERVING_SECONDS)
+    await stream.send_all(b"answer to " + data)
+    await stream.aclose()
+
+
+class StopTest(unittest.TestCase):
+    """A stopped listener accepts nothing new and cuts nothing off."""
+
+    async def play(self, max_connections: int) -> tuple[list[bytes], bool]:
+        """Stop a listener while clients wait in the kernel's queue.
+
+        Return what the clients got, and whether a later connection is refused.
+        """
+        answers: list[bytes] = []
+        async with trio.open_nursery() as nursery:
+            listener = await Listener.from_address(
+                "127.0.0.1:0", answer, max_connections
+            )
+            host, port = listener.address.split(":")
+            streams = []
+            for number in range(WAITING_CLIENTS):
+                stream = await trio.open_tcp_stream(host, int(port))
+                await stream.send_all(b"%d" % number)
+                streams.append(stream)
+            nursery.start_soon(listener.serve, nursery)
+            listener.stop_accepting()
+            for stream in streams:
+                try:
+                    answers.append(await stream.receive_some(100))
+                except trio.BrokenResourceError:
+                    answers.append(b"reset")
+            await trio.sleep(2 * SERVING_SECONDS)
+            is_refused = False
+            try:
+                await trio.open_tcp_stream(host, int(port))
+            except OSError:
+                is_refused = True
+            nursery.cancel_scope.cancel()
+        return answers, is_refused
+
+    def test_clients_that_had_connected_are_answered(self) -> None:
+        """Closing the listening socket would reset connections in its queue.
+
+        Their clients have sent requests already, and can't know that these were not
+        read.
+        """
+        expected = [b"answer to %d" % number for number in range(WAITING_CLIENTS)]
+        for max_connections in (1, 2, 100):
+            with self.subTest(max_connections=max_connections):
+                answers, is_refused = trio.run(self.play, max_connections)
+                self.assertEqual(answers, expected)
+                self.assertTrue(is_refused)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -409,6 +409,14 @@
         "known is not None",
         "test_feeds",
     ),
+    Mutation(
+        14,
+        "a stop resets the connections that wait to be accepted",
+        f"{NET}/listener.py",
+        "while self._has_waiting_connection():",
+        "while False:",
+        "test_listener",
+    ),
     Mutation(
         14,
         "a drain does not wait for open requests",
