--- a/tools/check_proofs.py
+++ b/tools/check_proofs.py
@@ -285,8 +285,11 @@
         7,
         "a host without the lease scales servers",
         f"{CORE}/handlers/scaling.py",
-        "    if term is None:\n        state.scale_requests.clear()\n        return\n",
-        "    term = term or 0\n",
+        "    if find_held_term(state, now) is None:\n"
+        "        state.scale_requests.clear()\n"
+        "        return\n"
+        "    term = find_duty_term(state, now)\n",
+        "    term: int | None = 1\n",
         "test_scaling",
     ),
     Mutation(
