--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
@@ -18,9 +18,16 @@
 
 import attrs
 
+from geraniumhall_bench.simulation.records import (
+    DeliveredDuty,
+    EventBuilder,
+    RefusedRequest,
+    RelayedRequest,
+    SimulatedDaemon,
+)
 from geraniumhall_bench.simulation.servers import SimulatedServer
 from geraniumhall_core.admin import AdminAnswer, AdminCommand
-from geraniumhall_core.effects import RelayRequest, SendOrder, SendToPeers, WriteLog
+from geraniumhall_core.effects import SendOrder, SendToPeers
 from geraniumhall_core.events import (
     AdminCalled,
     DaemonStarted,
@@ -42,7 +49,6 @@
 )
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.reducer import Event
-from geraniumhall_core.refusals import Refusal
 from geraniumhall_core.requests import CallerRequest
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
@@ -56,54 +62,9 @@
 PROMPT_TOKENS = 3
 GENERATED_TOKENS = 5
 
-EventBuilder = Callable[[float], Event]
-
 SIMULATION_PERFORMERS = Performers("simulated daemon")
 
 
-@attrs.define
-class SimulatedDaemon:
-    """A daemon's state, its log, and the events that arrived while it was paused.
-
-    `inbox` holds builders rather than events, because an event gets the time
-    at which it is processed.
-    """
-
-    state: DaemonState
-    is_alive: bool = True
-    is_paused: bool = False
-    inbox: list[EventBuilder] = attrs.field(factory=list)
-    log: list[WriteLog] = attrs.field(factory=list)
-
-
-@attrs.frozen
-class DeliveredDuty:
-    """A duty call that reached the platform, `at` seconds of virtual time."""
-
-    at: float
-    message: DutyMessage
-
-
-@attrs.frozen
-class RelayedRequest:
-    """A request that was sent to a backend server, `at` seconds of virtual time."""
-
-    at: float
-    host: str
-    workspace: str
-    effect: RelayRequest
-
-
-@attrs.frozen
-class RefusedRequest:
-    """A request that was refused, `at` seconds of virtual time."""
-
-    at: float
-    host: str
-    request_id: str
-    refusal: Refusal
-
-
 @attrs.define(eq=False)
 class SimulatedCluster:
     """Daemons, the platform, backend servers and the links between them.
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
@@ -6,9 +6,11 @@
     GENERATED_TOKENS,
     PROMPT_TOKENS,
     SIMULATION_PERFORMERS,
+    SimulatedCluster,
+)
+from geraniumhall_bench.simulation.records import (
     RefusedRequest,
     RelayedRequest,
-    SimulatedCluster,
     SimulatedDaemon,
 )
 from geraniumhall_core.effects import (
--- a/packages/geraniumhall-bench/tests/test_duties.py
+++ b/packages/geraniumhall-bench/tests/test_duties.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import initialize, invariant, rule
 
 from geraniumhall_bench.simulation import PLATFORM_NAME, SimulatedCluster
-from geraniumhall_bench.simulation.cluster import DeliveredDuty
+from geraniumhall_bench.simulation.records import DeliveredDuty
 from geraniumhall_core.admin import WriteRecord
 from geraniumhall_core.catalogue import CatalogueEntry, ServiceClass, Workspace
 from geraniumhall_core.events import DrainRequested
