Log from how many hosts the work of others is known

Cause: an on-call engineer who sees a first event much later than expected, with foreign_waiting 0, could not tell an idle or slow engine from one whose work no host had reported.

No decision changes.

--- a/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
@@ -114,12 +114,20 @@
     return (
         f"sent to {line['server']}{purpose} after {line['waited']} s:"
         f" {line['unread_tokens']} prompt tokens to prefill, queued behind"
-        f" {line['own_waiting']} of this host and {line['foreign_waiting']} of others,"
+        f" {line['own_waiting']} of this host and {line['foreign_waiting']} of others"
+        f"{_format_reporters(line)},"
         f" {line['running']} requests running; first event expected within"
         f" {line['expected']} s"
     )
 
 
+def _format_reporters(line: Line) -> str:
+    """Return how many hosts the work of others is known from, if the line says so."""
+    if "reporting_hosts" not in line:
+        return ""
+    return f" (reported by {line['reporting_hosts']} of {line['other_hosts']} hosts)"
+
+
 @EVENT_FORMATTERS.register("prompt_read")
 def format_prompt_read(line: Line) -> str:
     """Format the end of the prefill."""
--- a/packages/geraniumhall-cli/tests/test_explanations.py
+++ b/packages/geraniumhall-cli/tests/test_explanations.py
@@ -36,6 +36,20 @@
 )
 
 
+PLACED = {
+    "request": "h1-7",
+    "caller_id": "c3f0",
+    "server": "e1",
+    "reads_ahead": True,
+    "unread_tokens": 900,
+    "own_waiting": 0,
+    "foreign_waiting": 40,
+    "running": 2,
+    "waited": 0.0,
+    "expected": 0.1,
+}
+
+
 class TimelineTest(unittest.TestCase):
     """The events of one request are formatted in order of time."""
 
@@ -63,6 +77,19 @@
         self.assertEqual([line.host for line in timeline], ["h1", "h1", "h1"])
         self.assertIn("the feed servers was lost: no answer", timeline[0].story)
 
+    def test_placement_says_who_reported(self) -> None:
+        """The work of other hosts comes with the number of hosts that reported it."""
+        line = build_line(
+            1.0, "request_placed", **PLACED, reporting_hosts=16, other_hosts=78
+        )
+        story = explain_request([line], "c3f0")[0].story
+        self.assertIn("40 of others (reported by 16 of 78 hosts),", story)
+
+    def test_placement_of_an_older_log(self) -> None:
+        """A line without the number of reporting hosts is formatted without it."""
+        line = build_line(1.0, "request_placed", **PLACED)
+        self.assertIn("40 of others, 2 req", explain_request([line], "c3f0")[0].story)
+
     def test_unknown_request(self) -> None:
         """A request that no line mentions has an empty timeline."""
         self.assertEqual(explain_request([FAILED], "other"), [])
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -11,7 +11,10 @@
 def log_placement(
     state: DaemonState, record: RequestRecord, placement: Placement, now: float
 ) -> WriteLog:
-    """Log the server that a request is sent to, with the load figures used."""
+    """Log the server that a request is sent to, with the load figures used.
+
+    The work of other hosts is estimated from `reporting_hosts` of `other_hosts`.
+    """
     load = state.get_load(placement.server)
     foreign = state.estimate_foreign_work(placement.server)
     return WriteLog(
@@ -30,6 +33,8 @@
             LogField("own_waiting", load.prefill_tokens),
             LogField("foreign_waiting", foreign.prompt_tokens),
             LogField("running", load.outstanding + foreign.requests),
+            LogField("reporting_hosts", len(state.reports.latest)),
+            LogField("other_hosts", state.live_hosts - 1),
             LogField("waited", round(now - record.arrived_at, 4)),
             LogField("expected", round(placement.expected_seconds, 4)),
         ),
--- a/packages/geraniumhall-core/tests/test_reports.py
+++ b/packages/geraniumhall-core/tests/test_reports.py
@@ -6,7 +6,7 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from geraniumhall_core.effects import SendToPeers
+from geraniumhall_core.effects import SendToPeers, WriteLog
 from geraniumhall_core.events import PeerMessageReceived, Ticked
 from geraniumhall_core.hosts import HostRecord
 from geraniumhall_core.platform import Changes, Feed
@@ -100,6 +100,16 @@
         reduce(state, build_peer_event(build_report(1, 5, "h1")))
         self.assertEqual(state.estimate_foreign_work("e1"), ForeignWork())
 
+    def test_placement_logs_the_reporting_hosts(self) -> None:
+        """The log of a placement tells how many hosts the known work comes from."""
+        state = build_state_with_peer()
+        state.live_hosts = 5
+        reduce(state, build_peer_event(build_report(1, 2)))
+        lines = [e for e in reduce(state, build_arrival()) if isinstance(e, WriteLog)]
+        placed = next(line for line in lines if line.event == "request_placed")
+        fields = {field.name: field.value for field in placed.fields}
+        self.assertEqual((fields["reporting_hosts"], fields["other_hosts"]), (1, 4))
+
     def test_missing_reports_are_extrapolated(self) -> None:
         """Hosts without a report are assumed to have as much work as the others."""
         state = build_state_with_peer()
