Show that all hosts choose the same of several idle engines

Test: 60 hosts that have not heard of each other's work send a prompt each to 30 idle engines of each role. All take the same engine: 4.5 s of prefill against an objective of 0.6 s, 60 streams against 12 slots.

--- /dev/null
+++ b/packages/geraniumhall-core/tests/test_spread.py
@@ -0,0 +1,162 @@
+"""Tests of a load from many hosts that know little of each other's work.
+
+The pattern: callers reach all hosts within one moment, before any host has heard of
+another's work. What one host can't know must not make all hosts choose alike.
+"""
+
+import unittest
+from collections import Counter
+from random import Random
+
+from builders import apply_feed_answer, reduce
+
+from geraniumhall_core.catalogue import (
+    BackendServer,
+    CatalogueEntry,
+    Configuration,
+    EngineProfile,
+    Service,
+    ServiceClass,
+    ServiceWeight,
+)
+from geraniumhall_core.effects import PrefillPrompt, RelayRequest
+from geraniumhall_core.events import PrefillEnded, RequestArrived
+from geraniumhall_core.orders import ServerRole
+from geraniumhall_core.platform import Feed, Listing
+from geraniumhall_core.policy import Policy
+from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.reducer import Effect
+from geraniumhall_core.requests import (
+    AttemptOutcome,
+    CallerRequest,
+    KvCacheRef,
+    PathTarget,
+    PromptPart,
+)
+from geraniumhall_core.state import DaemonState
+
+HOSTS = 60
+ENGINES = 30  # of each role
+SLOTS = 12
+LONG_TOKENS = 6_000
+SHORT_TOKENS = 300
+READ_RATE = 80_000.0  # tokens a second, the default of `engine_read_rate`
+FIRST_ANSWER_SECONDS = 0.6
+NOW = 2.0
+PROFILE = EngineProfile(
+    slots=SLOTS,
+    memory_tokens=400_000,
+    token_bytes=18_432,
+    link_rate=1.6e10,
+    handle_ttl=5.0,
+)
+
+
+def build_listings() -> dict[Feed, Listing]:
+    """Return an entry that is open to all, and engines in both roles."""
+    entry = CatalogueEntry(
+        owner="audit",
+        service_class=ServiceClass.MODEL,
+        path="/m/",
+        open_to_all=True,
+        services=(ServiceWeight("llm", 1.0),),
+    )
+    configuration = Configuration(
+        version=1, entries={"m": entry}, services={"llm": Service(engine=PROFILE)}
+    )
+    engines = [
+        VersionedRecord(
+            ObjectKey("registered_server", f"{role.value}{number}"),
+            1 + number,
+            BackendServer(
+                address=f"10.0.0.{number}:80",
+                failure_domain="a",
+                service="llm",
+                slots=SLOTS,
+                role=role,
+            ),
+        )
+        for role in (ServerRole.PREFILL, ServerRole.DECODE)
+        for number in range(ENGINES)
+    ]
+    key = ObjectKey("configuration", "main")
+    return {
+        Feed.CONFIGURATION: Listing(1, (VersionedRecord(key, 1, configuration),)),
+        Feed.SERVERS: Listing(ENGINES, tuple(engines)),
+        Feed.RECORDS: Listing(1, ()),
+    }
+
+
+def build_hosts() -> list[DaemonState]:
+    """Return hosts that know the engines, and nothing of each other's work."""
+    listings = build_listings()
+    hosts = []
+    for number in range(HOSTS):
+        policy = Policy(host=f"h{number}", failure_domain="a", incarnation=1)
+        state = DaemonState.from_policy(policy)
+        for feed, listing in listings.items():
+            apply_feed_answer(state, feed, listing)
+        hosts.append(state)
+    return hosts
+
+
+def send_prompt(state: DaemonState, tokens: int, random: Random) -> Effect:
+    """Return the effect that sends a prompt of one part to an engine."""
+    request = CallerRequest(
+        request_id=f"{state.policy.host}-1",
+        target=PathTarget("/m/x"),
+        prompt_tokens=tokens,
+        parts=(PromptPart(f"{state.policy.host}{tokens}", tokens),),
+    )
+    draws = (random.random(), random.random())
+    effects = reduce(state, RequestArrived(at=NOW, request=request, draws=draws))
+    return next(e for e in effects if isinstance(e, PrefillPrompt | RelayRequest))
+
+
+def end_prefill(state: DaemonState, sent: Effect, random: Random) -> Effect:
+    """Return the effect that sends a request on to decode after its prefill."""
+    assert isinstance(sent, PrefillPrompt)
+    event = PrefillEnded(
+        at=NOW + 0.1,
+        request_id=sent.request_id,
+        attempt_id=sent.attempt_id,
+        outcome=AttemptOutcome.COMPLETED,
+        draws=(random.random(), random.random()),
+        kv_cache=KvCacheRef(sent.server, sent.address, "k", LONG_TOKENS),
+    )
+    effects = reduce(state, event)
+    return next(e for e in effects if isinstance(e, RelayRequest))
+
+
+class ManyHostsTest(unittest.TestCase):
+    """Guards against hosts that all choose the same of several idle engines."""
+
+    def test_prefill_is_not_piled_on_one_engine(self) -> None:
+        """Long prompts of all hosts are prefilled within the latency objective."""
+        random = Random(1)
+        sent = [send_prompt(host, LONG_TOKENS, random) for host in build_hosts()]
+        self.assertTrue(all(isinstance(effect, PrefillPrompt) for effect in sent))
+        busiest = max(Counter(effect.server for effect in sent).values())
+        seconds = busiest * LONG_TOKENS / READ_RATE
+        self.assertLess(seconds, FIRST_ANSWER_SECONDS)
+
+    def test_decode_is_not_piled_on_one_engine(self) -> None:
+        """No engine gets more streams than it has slots while others are idle."""
+        random = Random(2)
+        hosts = build_hosts()
+        sent = [send_prompt(host, LONG_TOKENS, random) for host in hosts]
+        placed = [end_prefill(*pair, random) for pair in zip(hosts, sent, strict=True)]
+        busiest = max(Counter(effect.server for effect in placed).values())
+        self.assertLessEqual(busiest, SLOTS)
+
+    def test_short_prompts_are_not_piled_on_one_engine(self) -> None:
+        """Prompts that need no separate prefill do not exceed an engine's slots."""
+        random = Random(3)
+        sent = [send_prompt(host, SHORT_TOKENS, random) for host in build_hosts()]
+        self.assertTrue(all(isinstance(effect, RelayRequest) for effect in sent))
+        busiest = max(Counter(effect.server for effect in sent).values())
+        self.assertLessEqual(busiest, SLOTS)
+
+
+if __name__ == "__main__":
+    unittest.main()
