Choose by draw between engines that look equally good

Cause: the planner took the first of the engines with the least estimate, in the order of their names. A host with 78 others hears of 16 of them, so most engines look idle to every host, and all hosts took the same ones.

Change: PlanQuery and choose_decode_engine have a draw, which decides between engines with equal estimates. It is the second draw of the event; the first one chooses the service.

Why it works: a draw needs no knowledge that a host lacks.

Ruled out, in a model of the load without network: choosing at random among engines within 1 to 20 ms of the best (no gain over exact ties).

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -86,7 +86,7 @@
     if event.outcome is AttemptOutcome.COMPLETED:
         record.kv_cache = event.kv_cache
         yield log_progress("prompt_read", record, event.at)
-        yield from _start_decode(state, record, event.at)
+        yield from _start_decode(state, record, event.at, event.draws)
     elif _may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
         yield from _start_attempt(state, record, event.at, event.draws)
@@ -228,11 +228,11 @@
 
 
 def _start_decode(
-    state: DaemonState, record: RequestRecord, now: float
+    state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
     assert record.kv_cache is not None
     record.phase = Phase.RUNNING
-    placement = place_decode(state, record, now)
+    placement = place_decode(state, record, now, draws[1])
     if placement is None:
         yield from _release_kv_cache(record, Verdict.NOT_RUN)
         refusal = NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -44,11 +44,11 @@
     engine = state.catalogue.find_service(record.service).engine
     if engine is None or not record.request.parts:
         return _place_by_routing(state, record, names, draws)
-    return _place_by_planning(state, record, engine, names)
+    return _place_by_planning(state, record, engine, names, draws[1])
 
 
 def place_decode(
-    state: DaemonState, record: RequestRecord, now: float
+    state: DaemonState, record: RequestRecord, now: float, draw: float
 ) -> Placement | None:
     """Return the server that decodes after a prefill, or None if there is none."""
     assert record.kv_cache is not None
@@ -56,7 +56,7 @@
     views = [_build_engine_view(state, name, ()) for name in names]
     prefill_server = state.catalogue.servers.get(record.kv_cache.server)
     is_local = prefill_server is not None and _is_local(state, prefill_server)
-    chosen = choose_decode_engine(views, is_local, record.request.memory_tokens)
+    chosen = choose_decode_engine(views, is_local, record.request.memory_tokens, draw)
     return Placement(server=chosen.name) if chosen else None
 
 
@@ -105,7 +105,11 @@
 
 
 def _place_by_planning(
-    state: DaemonState, record: RequestRecord, engine: EngineProfile, names: list[str]
+    state: DaemonState,
+    record: RequestRecord,
+    engine: EngineProfile,
+    names: list[str],
+    draw: float,
 ) -> Placement | None:
     request = record.request
     shared = sum(part.tokens for part in request.parts[:-1])
@@ -116,6 +120,7 @@
         prefill_rate=state.policy.engine_read_rate,
         kv_transfer_rate=engine.link_rate / engine.token_bytes,
         memory_tokens=request.memory_tokens,
+        draw=draw,
     )
     uses = _list_part_uses(request)
     views = [_build_engine_view(state, name, uses) for name in names]
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -68,7 +68,8 @@
     `shared_prefix_tokens` of the `prompt_tokens` are in parts that other requests
     may share; `shared_prefix_hash` is a hash of the last of these parts.
     `prefill_rate` is that of a prefill engine and `kv_transfer_rate` that of a
-    transfer between engines, both in tokens a second.
+    transfer between engines, both in tokens a second. `draw`, uniform in [0, 1),
+    decides between engines that are expected to answer equally early.
     """
 
     prompt_tokens: int
@@ -77,6 +78,7 @@
     prefill_rate: float
     kv_transfer_rate: float
     memory_tokens: int = 0
+    draw: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -137,11 +139,15 @@
 
 
 def choose_decode_engine(
-    engines: Sequence[EngineView], is_prefill_local: bool, memory_tokens: int
+    engines: Sequence[EngineView],
+    is_prefill_local: bool,
+    memory_tokens: int,
+    draw: float = 0.0,
 ) -> EngineView | None:
     """Return the engine that decodes from a transferred KV cache, or None.
 
-    The request takes `memory_tokens` of the engine's memory.
+    The request takes `memory_tokens` of the engine's memory. `draw`, uniform in
+    [0, 1), decides between engines that are equally good.
     """
     decode_engines = [
         engine for engine in engines if engine.role is not ServerRole.PREFILL
@@ -155,7 +161,7 @@
         )
         return _estimate_running_delay(engine, memory_tokens) + network_delay
 
-    return min(decode_engines, key=estimate)
+    return _choose_earliest(decode_engines, estimate, draw)
 
 
 def _plan_disaggregated(
@@ -184,7 +190,7 @@
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
         return prefill + network_delay
 
-    best = min(prefill_engines, key=estimate)
+    best = _choose_earliest(prefill_engines, estimate, query.draw)
     expected_seconds = estimate(best) + transfer + running_delay
     return expected_seconds, Plan(
         server=best.name,
@@ -213,7 +219,7 @@
         running_delay = _estimate_running_delay(engine, query.memory_tokens)
         return prefill + running_delay + network_delay
 
-    best = min(decode_engines, key=estimate)
+    best = _choose_earliest(decode_engines, estimate, query.draw)
     expected_seconds = estimate(best)
     return expected_seconds, Plan(
         server=best.name,
@@ -222,6 +228,20 @@
     )
 
 
+def _choose_earliest(
+    engines: Sequence[EngineView], estimate: Callable[[EngineView], float], draw: float
+) -> EngineView:
+    """Return one of the engines with the least estimate, by `draw`.
+
+    Hosts that know little of each other's work see many engines as equally idle. A
+    fixed order among these would make all hosts choose the same one.
+    """
+    estimates = [estimate(engine) for engine in engines]
+    least = min(estimates)
+    tied = [e for e, value in zip(engines, estimates, strict=True) if value == least]
+    return tied[int(draw * len(tied))]
+
+
 def _estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
     """Return the delay of a new request by running ones, in seconds."""
     delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS
