Begin the rotations of hosts at different places

Every host counted its rotation from one, so that after a common start round_robin and least_loaded sent the first request of every host to one server, the next to the next, and so on.

Test: 60 hosts send a plain request each to 30 servers, under every routing policy. It failed for round_robin and least_loaded (60 on one server, bound 12) and passes.

Looked at and found sound: prefix owners (rendezvous hashing by prefix), lenders and peers (seeded by host), random, two_choices and prefix_affinity.

--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import attrs
+from xxhash import xxh32_intdigest
 
 from geraniumhall_core.catalogue import Catalogue
 from geraniumhall_core.fairness import EntryQueue
@@ -212,8 +213,16 @@
 
     @classmethod
     def from_policy(cls, policy: Policy) -> "DaemonState":
-        """Return the state of a process that has just started."""
-        return cls(policy=policy, usage=UsageLedger(policy.usage_window))
+        """Return the state of a process that has just started.
+
+        Hosts begin their rotations at different places, so that after a common
+        start their requests don't go to the same servers in turn.
+        """
+        return cls(
+            policy=policy,
+            usage=UsageLedger(policy.usage_window),
+            round_robin_index=xxh32_intdigest(policy.host),
+        )
 
     @property
     def is_draining(self) -> bool:
--- a/packages/geraniumhall-core/tests/test_spread.py
+++ b/packages/geraniumhall-core/tests/test_spread.py
@@ -33,6 +33,7 @@
     PathTarget,
     PromptPart,
 )
+from geraniumhall_core.routing import ROUTING_POLICIES
 from geraniumhall_core.state import DaemonState
 
 HOSTS = 60
@@ -53,7 +54,14 @@
 
 
 def build_listings() -> dict[Feed, Listing]:
-    """Return an entry that is open to all, and engines in both roles."""
+    """Return two entries that are open to all, engines in both roles, and servers."""
+    plain = CatalogueEntry(
+        owner="audit",
+        service_class=ServiceClass.SERVICE,
+        path="/s/",
+        open_to_all=True,
+        services=(ServiceWeight("filing", 1.0),),
+    )
     entry = CatalogueEntry(
         owner="audit",
         service_class=ServiceClass.MODEL,
@@ -62,7 +70,9 @@
         services=(ServiceWeight("llm", 1.0),),
     )
     configuration = Configuration(
-        version=1, entries={"m": entry}, services={"llm": Service(engine=PROFILE)}
+        version=1,
+        entries={"m": entry, "s": plain},
+        services={"llm": Service(engine=PROFILE)},
     )
     engines = [
         VersionedRecord(
@@ -79,6 +89,16 @@
         for role in (ServerRole.PREFILL, ServerRole.DECODE)
         for number in range(ENGINES)
     ]
+    engines += [
+        VersionedRecord(
+            ObjectKey("registered_server", f"s{number}"),
+            1 + number,
+            BackendServer(
+                address=f"10.0.1.{number}:80", failure_domain="a", service="filing"
+            ),
+        )
+        for number in range(ENGINES)
+    ]
     key = ObjectKey("configuration", "main")
     return {
         Feed.CONFIGURATION: Listing(1, (VersionedRecord(key, 1, configuration),)),
@@ -87,12 +107,14 @@
     }
 
 
-def build_hosts() -> list[DaemonState]:
+def build_hosts(routing: str = "prefix_affinity") -> list[DaemonState]:
     """Return hosts that know the engines, and nothing of each other's work."""
     listings = build_listings()
     hosts = []
     for number in range(HOSTS):
-        policy = Policy(host=f"h{number}", failure_domain="a", incarnation=1)
+        policy = Policy(
+            host=f"h{number}", failure_domain="a", incarnation=1, routing=routing
+        )
         state = DaemonState.from_policy(policy)
         for feed, listing in listings.items():
             apply_feed_answer(state, feed, listing)
@@ -113,6 +135,16 @@
     return next(e for e in effects if isinstance(e, PrefillPrompt | RelayRequest))
 
 
+def send_plain(state: DaemonState, random: Random) -> RelayRequest:
+    """Return the effect that sends a request without a prompt to a server."""
+    request = CallerRequest(
+        request_id=f"{state.policy.host}-1", target=PathTarget("/s/x")
+    )
+    draws = (random.random(), random.random())
+    effects = reduce(state, RequestArrived(at=NOW, request=request, draws=draws))
+    return next(e for e in effects if isinstance(e, RelayRequest))
+
+
 def end_prefill(state: DaemonState, sent: Effect, random: Random) -> Effect:
     """Return the effect that sends a request on to decode after its prefill."""
     assert isinstance(sent, PrefillPrompt)
@@ -157,6 +189,15 @@
         busiest = max(Counter(effect.server for effect in sent).values())
         self.assertLessEqual(busiest, SLOTS)
 
+    def test_plain_requests_are_not_piled_on_one_server(self) -> None:
+        """The hosts' first requests spread, whatever the routing policy."""
+        for routing in ROUTING_POLICIES:
+            with self.subTest(routing=routing):
+                random = Random(4)
+                sent = [send_plain(host, random) for host in build_hosts(routing)]
+                busiest = max(Counter(effect.server for effect in sent).values())
+                self.assertLessEqual(busiest, SLOTS)
+
 
 if __name__ == "__main__":
     unittest.main()
