Request servers again as soon as they are lost

Cause: an accepted request for servers counted as fulfilled for 15 s. Reclaimable servers that the platform took back were requested again by that timer: reclaims at 4.4 and 7.8 s were first answered at 14.9 s. It is trust in an order instead of in what serves.

Change: ScaleRequest keeps how many servers have served since the answer. A request is repeated 2 s after it if servers were lost since, and after the start-up time if they did not come; otherwise every 15 s as before. The class moves from state to scaling.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
@@ -17,11 +17,13 @@
 from geraniumhall_core.platform import DutyAccepted, DutyFenced, ScaleService
 from geraniumhall_core.purposes import ScaleDomain
 from geraniumhall_core.reducer import Effect
-from geraniumhall_core.scaling import SCALING_POLICIES, DomainTarget, DomainView
-from geraniumhall_core.state import DaemonState, ScaleRequest
-
-RETRY_SECONDS = 2.0
-REPEAT_SECONDS = 15.0
+from geraniumhall_core.scaling import (
+    SCALING_POLICIES,
+    DomainTarget,
+    DomainView,
+    ScaleRequest,
+)
+from geraniumhall_core.state import DaemonState
 
 
 def reconcile_scale(state: DaemonState, now: float) -> Iterator[Effect]:
@@ -37,9 +39,19 @@
         if service.scale is None:
             continue
         for domain in service.scale.prices:
-            target = policy(service.scale, _count_servers(state, name, domain))
+            view = _count_servers(state, name, domain)
+            target = policy(service.scale, view)
             if target is not None:
-                yield from _request_scale(state, name, domain, target, term, now)
+                yield from _request_scale(
+                    state,
+                    name,
+                    domain,
+                    service.scale.boot_seconds,
+                    view,
+                    target,
+                    term,
+                    now,
+                )
 
 
 @ANSWER_HANDLERS.register(ScaleDomain)
@@ -54,10 +66,7 @@
     scale_request = state.scale_requests.get(key)
     is_accepted = isinstance(event.answer, DutyAccepted)
     if scale_request is not None:
-        scale_request.is_calling = False
-        scale_request.count = purpose.count if is_accepted else None
-        wait = REPEAT_SECONDS if is_accepted else RETRY_SECONDS
-        scale_request.next_call_at = event.at + wait
+        scale_request.record_answer(purpose.count if is_accepted else None, event.at)
     yield WriteLog(
         level="info",
         event="servers_ordered",
@@ -85,18 +94,20 @@
     state: DaemonState,
     service: str,
     domain: str,
+    boot_seconds: float,
+    view: DomainView,
     target: DomainTarget,
     term: int,
     now: float,
 ) -> Iterator[Effect]:
-    for reclaimable, count in ((True, target.reclaimable), (False, target.regular)):
+    for reclaimable, count, serving in (
+        (True, target.reclaimable, view.reclaimable),
+        (False, target.regular, view.regular),
+    ):
         key = (service, domain, reclaimable)
         scale_request = state.scale_requests.setdefault(key, ScaleRequest())
-        is_unchanged = scale_request.count == count and now < scale_request.next_call_at
-        is_backing_off = (
-            scale_request.count is None and now < scale_request.next_call_at
-        )
-        if scale_request.is_calling or is_unchanged or is_backing_off:
+        scale_request.observe_servers(serving)
+        if not scale_request.is_due(count, serving, boot_seconds, now):
             continue
         scale_request.is_calling = True
         yield CallPlatform(
--- a/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
@@ -16,6 +16,9 @@
 from geraniumhall_core.catalogue import ScaleBounds
 from geraniumhall_core.registry import Registry
 
+RETRY_SECONDS = 2.0
+REPEAT_SECONDS = 15.0  # between equal requests while no server is missing
+
 
 @attrs.frozen(kw_only=True)
 class DomainView:
@@ -33,6 +36,52 @@
     reclaimable: int
 
 
+@attrs.define
+class ScaleRequest:
+    """Scale requests for a service's regular or reclaimable servers in one domain.
+
+    `count` is that of the last answered request, or None if the platform did not
+    accept it or none was answered yet. `answered_at` is in seconds on the host's
+    clock, and `most_serving` the most servers that have served since.
+    """
+
+    count: int | None = None
+    is_calling: bool = False
+    answered_at: float = float("-inf")
+    most_serving: int = 0
+
+    def record_answer(self, count: int | None, now: float) -> None:
+        """Record an accepted count, or None for a request that was not accepted."""
+        self.is_calling = False
+        self.count = count
+        self.answered_at = now
+        self.most_serving = 0
+
+    def observe_servers(self, serving: int) -> None:
+        """Record how many of the requested servers serve now."""
+        self.most_serving = max(self.most_serving, serving)
+
+    def is_due(self, count: int, serving: int, boot_seconds: float, now: float) -> bool:
+        """Return whether to request `count` servers, of which `serving` serve now.
+
+        An accepted request is repeated if servers were lost since, or did not come,
+        because the platform does not replace those that it reclaims.
+        """
+        if self.is_calling:
+            return False
+        if self.count is None:
+            wait = RETRY_SECONDS
+        elif self.count != count:
+            wait = 0.0
+        elif serving < min(count, self.most_serving):
+            wait = RETRY_SECONDS
+        elif serving < count:
+            wait = boot_seconds + RETRY_SECONDS
+        else:
+            wait = REPEAT_SECONDS
+        return now >= self.answered_at + wait
+
+
 ScalingPolicy = Callable[[ScaleBounds, DomainView], DomainTarget | None]
 SCALING_POLICIES: Registry[str, ScalingPolicy] = Registry("scaling policy")
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -19,6 +19,7 @@
 from geraniumhall_core.reports import ReportingState, ReportsView
 from geraniumhall_core.requests import RequestRecord
 from geraniumhall_core.retries import RetryBudget
+from geraniumhall_core.scaling import ScaleRequest
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork, ServerLoad
 from geraniumhall_core.usage import UsageLedger, UsageSeals
 
@@ -140,20 +141,6 @@
     next_call_at: float = float("-inf")
 
 
-@attrs.define
-class ScaleRequest:
-    """Scale requests for a service's regular or reclaimable servers in one domain.
-
-    `count` is that of the last answered request, or None if the platform did not
-    accept it or none was answered yet. `next_call_at` is in seconds on the host's
-    clock.
-    """
-
-    count: int | None = None
-    is_calling: bool = False
-    next_call_at: float = float("-inf")
-
-
 @attrs.define
 class MetricsState:
     """The counters at the last report; metrics are sent as increases."""
--- a/packages/geraniumhall-core/tests/test_scaling.py
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -31,7 +31,7 @@
     ReleaseLease,
     ScaleDomain,
 )
-from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.scaling import DomainTarget, DomainView, prefer_reclaimable
 from geraniumhall_core.state import DaemonState
 
@@ -152,6 +152,68 @@
         state = self.answer(DutyAccepted())
         self.assertEqual(tick(state, 5.0), [])
 
+    def test_reclaimed_servers_are_requested_again(self) -> None:
+        """Guards against a domain left without servers until the repeat interval.
+
+        Reclaimable servers take the place of two regular ones, and then all leave.
+        """
+        state = self.answer(DutyAccepted())
+        self.replace_regular_servers(state)
+        self.settle(state, 3.0)
+        self.register(state, 140, leaving=True)
+        calls = tick(state, 9.5)
+        self.assertEqual([c.message.count for c in calls if c.message.reclaimable], [5])
+
+    def test_loss_while_others_start_is_noticed(self) -> None:
+        """A loss is answered at once although the requested servers still start."""
+        state = self.answer(DutyAccepted())
+        self.replace_regular_servers(state)
+        self.settle(state, 3.0)
+        tick(state, 4.0)
+        self.register(state, 140, leaving=True)
+        calls = tick(state, 5.1)
+        self.assertEqual([c.message.count for c in calls if c.message.reclaimable], [5])
+
+    def test_servers_that_still_start_are_not_requested_again(self) -> None:
+        """A request is not repeated while its servers may still be starting."""
+        state = self.answer(DutyAccepted())
+        self.assertEqual(tick(state, 2.2 + BOUNDS.boot_seconds), [])
+
+    def replace_regular_servers(self, state: DaemonState) -> None:
+        """Register three reclaimable servers, and remove all regular ones but one."""
+        self.register(state, 130, leaving=False)
+        removed = tuple(
+            VersionedRecord(ObjectKey("registered_server", f"s{n}"), 134 + n, DELETED)
+            for n in range(2)
+        )
+        changes = Changes(136, removed)
+        reduce(state, build_answer(FollowFeed(Feed.SERVERS), changes))
+
+    def register(self, state: DaemonState, revision: int, leaving: bool) -> None:
+        """Register three reclaimable servers, or announce that they leave."""
+        server = BackendServer(
+            address="10.0.0.8:80",
+            failure_domain="a",
+            service="llm",
+            reclaimable=True,
+            leaving=leaving,
+        )
+        servers = tuple(
+            VersionedRecord(
+                ObjectKey("registered_server", f"r{n}"), revision + n, server
+            )
+            for n in range(3)
+        )
+        changes = Changes(revision + 3, servers)
+        reduce(state, build_answer(FollowFeed(Feed.SERVERS), changes))
+
+    def settle(
+        self, state: DaemonState, at: float, answer: object = DutyAccepted()
+    ) -> None:
+        """Send what the policy requests at `at`, and answer it."""
+        for call in tick(state, at):
+            reduce(state, build_answer(call.purpose, answer, at=at))
+
     def test_rejected_scale_request_is_sent_again(self) -> None:
         """A rejected request is sent again after the retry interval."""
         state = self.answer(DutyRejected("none available"))
