Let regular servers stand in for reclaimed ones

Cause: reclaimable_first gives regular servers up once reclaimable ones serve, and never requested one. It could not tell servers that still start from servers that are not to be had. Class of fault: a substitute without a way back to what it stands in for.

Change: the view of a domain says whether the platform rejected the latest request for reclaimable servers. While it does, regular ones are requested up to half of the maximum; the other half is left for the reclaimable ones, as the maximum applies to both together. They are given up as before once reclaimable ones serve.

Ruled out: regular servers for the whole maximum, since the reclaimable ones could then come back only one by one.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
@@ -39,7 +39,7 @@
         if service.scale is None:
             continue
         for domain in service.scale.prices:
-            view = _count_servers(state, name, domain)
+            view = _view_domain(state, name, domain)
             target = policy(service.scale, view)
             if target is not None:
                 yield from _request_scale(
@@ -83,11 +83,16 @@
         yield from step_down(state, event.at)
 
 
-def _count_servers(state: DaemonState, service: str, domain: str) -> DomainView:
+def _view_domain(state: DaemonState, service: str, domain: str) -> DomainView:
     names = state.catalogue.servers_by_service.get(service, ())
     servers = [state.catalogue.servers[name] for name in names]
     kinds = Counter(s.reclaimable for s in servers if s.failure_domain == domain)
-    return DomainView(regular=kinds[False], reclaimable=kinds[True])
+    latest = state.scale_requests.get((service, domain, True))
+    return DomainView(
+        regular=kinds[False],
+        reclaimable=kinds[True],
+        lacks_reclaimable=latest is not None and latest.was_rejected,
+    )
 
 
 def _request_scale(
--- a/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
@@ -22,10 +22,15 @@
 
 @attrs.frozen(kw_only=True)
 class DomainView:
-    """The number of servers that a service has in one failure domain."""
+    """The number of servers that a service has in one failure domain.
+
+    `lacks_reclaimable` is true if the platform has rejected the latest request for
+    reclaimable servers there.
+    """
 
     regular: int
     reclaimable: int
+    lacks_reclaimable: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -50,6 +55,11 @@
     answered_at: float = float("-inf")
     most_serving: int = 0
 
+    @property
+    def was_rejected(self) -> bool:
+        """Whether the latest answered request was not accepted."""
+        return self.count is None and self.answered_at != float("-inf")
+
     def record_answer(self, count: int | None, now: float) -> None:
         """Record an accepted count, or None for a request that was not accepted."""
         self.is_calling = False
@@ -97,7 +107,10 @@
     """Prefer reclaimable servers above the minimum of regular ones.
 
     A regular server is given up only once a reclaimable one serves in its place,
-    so that the number of serving servers does not drop during the change.
+    so that the number of serving servers does not drop during the change. While no
+    reclaimable ones are to be had, regular ones take their place up to half of the
+    maximum. The other half is left for reclaimable ones, since the maximum applies
+    to both kinds together.
     """
     if bounds.reclaimable_price is None:
         return None
@@ -105,5 +118,8 @@
     regular = max(bounds.minimum, domain.regular)
     if domain.reclaimable:
         regular = max(bounds.minimum, domain.regular - domain.reclaimable)
+    if domain.lacks_reclaimable:
+        substitutes = bounds.maximum // 2 - domain.reclaimable
+        regular = max(regular, substitutes)
     reclaimable = min(headroom, bounds.maximum - regular)
     return DomainTarget(regular=regular, reclaimable=reclaimable)
--- a/packages/geraniumhall-core/tests/test_scaling.py
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -64,6 +64,24 @@
             with self.subTest(domain=domain):
                 self.assertEqual(prefer_reclaimable(BOUNDS, domain), expected)
 
+    def test_regular_servers_replace_reclaimed_ones(self) -> None:
+        """Guards against a domain that is left with its minimum after a reclaim.
+
+        Half of the maximum is left for the reclaimable servers that come back.
+        """
+        cases = {
+            (1, 0): DomainTarget(regular=3, reclaimable=3),
+            (3, 0): DomainTarget(regular=3, reclaimable=3),
+            (1, 1): DomainTarget(regular=2, reclaimable=4),
+            (1, 5): DomainTarget(regular=1, reclaimable=5),
+        }
+        for (regular, reclaimable), expected in cases.items():
+            domain = DomainView(
+                regular=regular, reclaimable=reclaimable, lacks_reclaimable=True
+            )
+            with self.subTest(domain=domain):
+                self.assertEqual(prefer_reclaimable(BOUNDS, domain), expected)
+
     def test_without_reclaimable_price_nothing_is_requested(self) -> None:
         """Without a price for reclaimable servers the policy changes nothing."""
         bounds = attrs.evolve(BOUNDS, reclaimable_price=None)
@@ -174,6 +192,18 @@
         calls = tick(state, 5.1)
         self.assertEqual([c.message.count for c in calls if c.message.reclaimable], [5])
 
+    def test_regular_servers_are_requested_if_none_are_to_be_had(self) -> None:
+        """Regular ones are requested after a rejected request for reclaimable ones."""
+        state = self.answer(DutyAccepted())
+        self.replace_regular_servers(state)
+        self.settle(state, 3.0)
+        self.register(state, 140, leaving=True)
+        self.settle(state, 9.5, DutyRejected("none available"))
+        calls = tick(state, 9.6)
+        self.assertEqual(
+            [c.message.count for c in calls if not c.message.reclaimable], [3]
+        )
+
     def test_servers_that_still_start_are_not_requested_again(self) -> None:
         """A request is not repeated while its servers may still be starting."""
         state = self.answer(DutyAccepted())
