Reconcile one failure domain in one function

_request_scale had grown to eight parameters, since the caller made the view and the target for it. It now makes them itself.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from geraniumhall_core.catalogue import ScaleBounds
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import PlatformAnswered
 from geraniumhall_core.handlers.leases import (
@@ -17,12 +18,7 @@
 from geraniumhall_core.platform import DutyAccepted, DutyFenced, ScaleService
 from geraniumhall_core.purposes import ScaleDomain
 from geraniumhall_core.reducer import Effect
-from geraniumhall_core.scaling import (
-    SCALING_POLICIES,
-    DomainTarget,
-    DomainView,
-    ScaleRequest,
-)
+from geraniumhall_core.scaling import SCALING_POLICIES, DomainView, ScaleRequest
 from geraniumhall_core.state import DaemonState
 
 
@@ -34,24 +30,11 @@
     term = find_duty_term(state, now)
     if term is None or not state.policy.has_duties:
         return
-    policy = SCALING_POLICIES.find(state.policy.scaling)
     for name, service in state.catalogue.services.items():
         if service.scale is None:
             continue
         for domain in service.scale.prices:
-            view = _view_domain(state, name, domain)
-            target = policy(service.scale, view)
-            if target is not None:
-                yield from _request_scale(
-                    state,
-                    name,
-                    domain,
-                    service.scale.boot_seconds,
-                    view,
-                    target,
-                    term,
-                    now,
-                )
+            yield from _reconcile_domain(state, name, service.scale, domain, term, now)
 
 
 @ANSWER_HANDLERS.register(ScaleDomain)
@@ -95,16 +78,18 @@
     )
 
 
-def _request_scale(
+def _reconcile_domain(
     state: DaemonState,
     service: str,
+    bounds: ScaleBounds,
     domain: str,
-    boot_seconds: float,
-    view: DomainView,
-    target: DomainTarget,
     term: int,
     now: float,
 ) -> Iterator[Effect]:
+    view = _view_domain(state, service, domain)
+    target = SCALING_POLICIES.find(state.policy.scaling)(bounds, view)
+    if target is None:
+        return
     for reclaimable, count, serving in (
         (True, target.reclaimable, view.reclaimable),
         (False, target.regular, view.regular),
@@ -112,7 +97,7 @@
         key = (service, domain, reclaimable)
         scale_request = state.scale_requests.setdefault(key, ScaleRequest())
         scale_request.observe_servers(serving)
-        if not scale_request.is_due(count, serving, boot_seconds, now):
+        if not scale_request.is_due(count, serving, bounds.boot_seconds, now):
             continue
         scale_request.is_calling = True
         yield CallPlatform(
--- a/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
@@ -24,8 +24,8 @@
 class DomainView:
     """The number of servers that a service has in one failure domain.
 
-    `lacks_reclaimable` is true if the platform has rejected the latest request for
-    reclaimable servers there.
+    `lacks_reclaimable` is true if the latest answered request for reclaimable
+    servers there was not accepted.
     """
 
     regular: int
