Write the records of hosts at different times

Cause: all hosts start within 0.3 s and wrote their records at the same moment, every 3 s with 79 hosts. Each host reads all records: 79 of 1.4 KB in one answer occupy a link of 5 Mbit/s for longer than streams may pause. As the first cause, it is hosts that act alike where nothing tells them apart.

Change: each host has its own place in the interval, by its name, and returns to it after a write at another time (a store that is back, a conflict).

Ruled out, each by a trial: receive buffers of 4 KiB on the calls to the store (no effect), reading more often alone (no effect, as all records come in one moment).

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -1,6 +1,9 @@
 """Publishes this host's record and applies the records of other hosts."""
 
 from collections.abc import Iterator
+from math import floor
+
+from xxhash import xxh32_intdigest
 
 from geraniumhall_core.effects import CallPlatform
 from geraniumhall_core.events import PlatformAnswered
@@ -38,11 +41,23 @@
     yield write_host_record(state, now, wall_time)
 
 
+def _find_next_slot(state: DaemonState, now: float) -> float:
+    """Return the next time after `now` at which this host's record is due.
+
+    Each host has its own place in the interval, by its name. Hosts that started
+    together, or that reached the store again together, would otherwise all write at
+    the same moment, and every host would read all records in one long answer.
+    """
+    interval = compute_publish_interval(state)
+    place = xxh32_intdigest(state.policy.host) / 2**32 * interval
+    return place + (floor((now - place) / interval) + 1) * interval
+
+
 def write_host_record(state: DaemonState, now: float, wall_time: float) -> CallPlatform:
     """Return the effect that writes this host's current record."""
     publishing = state.publishing
     publishing.is_calling = True
-    publishing.next_call_at = now + compute_publish_interval(state)
+    publishing.next_call_at = _find_next_slot(state, now)
     publishing.sequence += 1
     rates = {
         name: round(meter.read(now), 3) for name, meter in state.demand_meters.items()
--- a/packages/geraniumhall-core/tests/test_spread.py
+++ b/packages/geraniumhall-core/tests/test_spread.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from random import Random
 
-from builders import apply_feed_answer, reduce
+from builders import apply_feed_answer, build_answer, reduce
 
 from geraniumhall_core.catalogue import (
     BackendServer,
@@ -19,11 +19,13 @@
     ServiceClass,
     ServiceWeight,
 )
-from geraniumhall_core.effects import PrefillPrompt, RelayRequest
-from geraniumhall_core.events import PrefillEnded, RequestArrived
+from geraniumhall_core.effects import CallPlatform, PrefillPrompt, RelayRequest
+from geraniumhall_core.events import PrefillEnded, RequestArrived, Ticked
+from geraniumhall_core.handlers.publishing import compute_publish_interval
 from geraniumhall_core.orders import ServerRole
-from geraniumhall_core.platform import Feed, Listing
+from geraniumhall_core.platform import Feed, Listing, Written
 from geraniumhall_core.policy import Policy
+from geraniumhall_core.purposes import PublishHost
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.requests import (
@@ -160,6 +162,19 @@
     return next(e for e in effects if isinstance(e, RelayRequest))
 
 
+def list_writes(state: DaemonState, since: float) -> list[int]:
+    """Return the half seconds in which a host writes its record in seven seconds."""
+    writes = []
+    for tick in range(70):
+        at = since + tick / 10
+        effects = reduce(state, Ticked(at=at, wall_time=at, draws=(0.5, 0.5)))
+        for call in effects:
+            if isinstance(call, CallPlatform) and isinstance(call.purpose, PublishHost):
+                writes.append(int(at / 0.5))
+                reduce(state, build_answer(call.purpose, Written(tick + 1), at=at))
+    return writes
+
+
 class ManyHostsTest(unittest.TestCase):
     """Guards against hosts that all choose the same of several idle engines."""
 
@@ -198,6 +213,31 @@
                 busiest = max(Counter(effect.server for effect in sent).values())
                 self.assertLessEqual(busiest, SLOTS)
 
+    def test_records_are_not_all_written_at_once(self) -> None:
+        """Hosts that start together write at different times, also after an outage.
+
+        Every host reads all records. If they are written together, it gets them in
+        one answer, which delays the streams of callers on a thin link. No half
+        second has twice as many writes as if they were spread evenly.
+        """
+        hosts = build_hosts()
+        even = 0.0
+        for number, state in enumerate(hosts):
+            state.live_hosts = HOSTS
+            even += 0.5 / compute_publish_interval(state)
+            writes = list_writes(state, NOW + 0.3 * number / HOSTS)
+            hosts[number].publishing.next_call_at = NOW + 10.0  # the store is back
+            writes += list_writes(state, NOW + 10.0)
+            self.written.update(writes)
+        for since in (NOW + 1.0, NOW + 11.0):
+            half_seconds = [int(since / 0.5) + n for n in range(10)]
+            busiest = max(self.written[moment] for moment in half_seconds)
+            self.assertLessEqual(busiest, 2 * even)
+
+    def setUp(self) -> None:
+        """Start without writes; they are counted by half second."""
+        self.written: Counter[int] = Counter()
+
 
 if __name__ == "__main__":
     unittest.main()
