Read many hosts' records in shorter answers

Spread over the interval, 40 records of 1.4 KB are still read in one answer of 1.5 s; they occupy a link of 5 Mbit/s for 90 ms, and a stream whose engine also prefills another prompt then pauses over 150 ms.

Change: with more than 20 live hosts the records are read twice as often, so that an answer has 20 of them on average. Up to 20 hosts nothing changes.

Also: ReadIntervalTest now has the other hosts as live ones; with the number alone the first answer set it back to one. It is stricter and passes.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterator
+from math import ceil
 
 from geraniumhall_core.catalogue import (
     CONFIGURATION_KIND,
@@ -52,6 +53,7 @@
 }
 RECONFIRM_WAIT_SECONDS = 0.05  # after a failure
 SERVERS_PAUSE_SECONDS = 0.5
+RECORDS_PER_READ = 20  # on average
 KINDS_BY_FEED = {
     Feed.CONFIGURATION: (CONFIGURATION_KIND,),
     Feed.SERVERS: (REGISTERED_SERVER_KIND,),
@@ -242,8 +244,9 @@
 def _choose_pause(state: DaemonState, feed: Feed, event: PlatformAnswered) -> float:
     """Return the seconds to wait before the feed's next call.
 
-    Host records change all the time, so they are read in batches, often enough
-    to keep the host ready. Servers often change together; with many hosts,
+    Host records change all the time, so they are read in batches: often enough to
+    keep the host ready, and so that no answer is long, since on a thin link a long
+    one delays the streams of callers. Servers often change together; with many hosts,
     pausing saves each host a call for every single change.
     """
     pause = 0.0
@@ -253,7 +256,8 @@
             state.policy.servers_max_pause,
         )
     elif feed is Feed.RECORDS:
-        pause = state.policy.publish_interval
+        written = state.live_hosts / state.interval_factor
+        pause = state.policy.publish_interval / ceil(written / RECORDS_PER_READ)
     return max(0.0, event.called_at + pause - event.at)
 
 
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -51,6 +51,14 @@
     return state.catalogue.servers_by_service.get("draft", ())
 
 
+def add_hosts(state: DaemonState, total: int) -> None:
+    """Let the state know of other hosts, so that there are `total` live ones."""
+    for number in range(1, total):
+        record = HostRecord(failure_domain="b", incarnation=1, sequence=1)
+        state.hosts.observe(f"peer{number}", record, LISTED_AT)
+    state.live_hosts = total
+
+
 class FollowTest(unittest.TestCase):
     """Each answer leads to one further call."""
 
@@ -148,10 +156,10 @@
         The answers come as late as the waits allow, without changes.
         """
         state = build_state()
-        state.live_hosts = hosts
+        add_hosts(state, hosts)
         now, longest = LISTED_AT, 0.0
         effects = apply_feed_answer(state, feed, Changes(120, ()))
-        for _ in range(8):
+        for _ in range(32):
             call = find_effect(effects, CallPlatform)
             called_at = now + call.delay
             now = called_at + call.message.wait
@@ -170,6 +178,20 @@
                 with self.subTest(feed=feed, hosts=hosts):
                     self.assertLessEqual(self.compute_longest_age(feed, hosts), 2.5)
 
+    def test_no_answer_has_many_records(self) -> None:
+        """Guards against long answers that delay streams on hosts with thin links.
+
+        The records that are written between two reads are at most 20 on average.
+        """
+        for hosts in (9, 41, 79, 590):
+            with self.subTest(hosts=hosts):
+                state = build_state()
+                add_hosts(state, hosts)
+                written = hosts / state.interval_factor / state.policy.publish_interval
+                effects = apply_feed_answer(state, Feed.RECORDS, Changes(120, ()))
+                delay = find_effect(effects, CallPlatform).delay
+                self.assertLessEqual(written * delay, 20.01)
+
     def test_many_hosts_batch_changes_of_servers(self) -> None:
         """With 79 hosts the next watch is delayed, with nine it is not."""
         for hosts, waits in ((9, False), (79, True)):
