--- a/packages/geraniumhall-core/tests/builders.py
+++ b/packages/geraniumhall-core/tests/builders.py
@@ -7,6 +7,7 @@
     CatalogueEntry,
     EntryLimits,
     ServiceClass,
+    ServiceWeight,
     Workspace,
 )
 from geraniumhall_core.events import AttemptEnded, PlatformAnswered, RequestArrived
@@ -73,6 +74,19 @@
     )
 
 
+def build_open_entry(
+    service_class: ServiceClass, path: str, service: str
+) -> CatalogueEntry:
+    """Return an entry that is open to all and is served by one service."""
+    return CatalogueEntry(
+        owner="audit",
+        service_class=service_class,
+        path=path,
+        open_to_all=True,
+        services=(ServiceWeight(service, 1.0),),
+    )
+
+
 def build_listing(records: dict[ObjectKey, Any], revision: int = 100) -> Listing:
     """Return a listing of records with versions counted from one."""
     objects = [
--- a/packages/geraniumhall-core/tests/test_prefixes.py
+++ b/packages/geraniumhall-core/tests/test_prefixes.py
@@ -6,16 +6,14 @@
 from random import Random
 
 import attrs
-from builders import apply_feed_answer, build_state, reduce
+from builders import apply_feed_answer, build_open_entry, build_state, reduce
 
 from geraniumhall_core.catalogue import (
     BackendServer,
-    CatalogueEntry,
     Configuration,
     EngineProfile,
     Service,
     ServiceClass,
-    ServiceWeight,
 )
 from geraniumhall_core.effects import RelayRequest, SendToPeers
 from geraniumhall_core.events import PeerMessageReceived, RequestArrived, Ticked
@@ -99,13 +97,7 @@
     def build(self) -> DaemonState:
         """Return a state with an engine, and with another host to report to."""
         state = build_state(policy={"peer_address": "h1:1"})
-        entry = CatalogueEntry(
-            owner="audit",
-            service_class=ServiceClass.MODEL,
-            path="/m/",
-            open_to_all=True,
-            services=(ServiceWeight("llm", 1.0),),
-        )
+        entry = build_open_entry(ServiceClass.MODEL, "/m/", "llm")
         configuration = Configuration(
             version=1, entries={"m": entry}, services={"llm": Service(engine=PROFILE)}
         )
--- a/packages/geraniumhall-core/tests/test_spread.py
+++ b/packages/geraniumhall-core/tests/test_spread.py
@@ -7,17 +7,16 @@
 import unittest
 from collections import Counter
 from random import Random
+from typing import Any
 
-from builders import apply_feed_answer, build_answer, reduce
+from builders import apply_feed_answer, build_answer, build_open_entry, reduce
 
 from geraniumhall_core.catalogue import (
     BackendServer,
-    CatalogueEntry,
     Configuration,
     EngineProfile,
     Service,
     ServiceClass,
-    ServiceWeight,
 )
 from geraniumhall_core.effects import CallPlatform, PrefillPrompt, RelayRequest
 from geraniumhall_core.events import PrefillEnded, RequestArrived, Ticked
@@ -39,7 +38,7 @@
 from geraniumhall_core.state import DaemonState
 
 HOSTS = 60
-ENGINES = 30  # of each role
+SERVERS = 30  # of each kind
 SLOTS = 12
 LONG_TOKENS = 6_000
 SHORT_TOKENS = 300
@@ -57,58 +56,38 @@
 
 def build_listings() -> dict[Feed, Listing]:
     """Return two entries that are open to all, engines in both roles, and servers."""
-    plain = CatalogueEntry(
-        owner="audit",
-        service_class=ServiceClass.SERVICE,
-        path="/s/",
-        open_to_all=True,
-        services=(ServiceWeight("filing", 1.0),),
-    )
-    entry = CatalogueEntry(
-        owner="audit",
-        service_class=ServiceClass.MODEL,
-        path="/m/",
-        open_to_all=True,
-        services=(ServiceWeight("llm", 1.0),),
-    )
+    entries = {
+        "m": build_open_entry(ServiceClass.MODEL, "/m/", "llm"),
+        "s": build_open_entry(ServiceClass.SERVICE, "/s/", "filing"),
+    }
     configuration = Configuration(
-        version=1,
-        entries={"m": entry, "s": plain},
-        services={"llm": Service(engine=PROFILE)},
+        version=1, entries=entries, services={"llm": Service(engine=PROFILE)}
     )
-    engines = [
-        VersionedRecord(
-            ObjectKey("registered_server", f"{role.value}{number}"),
-            1 + number,
-            BackendServer(
-                address=f"10.0.0.{number}:80",
-                failure_domain="a",
-                service="llm",
-                slots=SLOTS,
-                role=role,
-            ),
-        )
+    servers = [
+        build_registration(number, role.value, "llm", slots=SLOTS, role=role)
         for role in (ServerRole.PREFILL, ServerRole.DECODE)
-        for number in range(ENGINES)
-    ]
-    engines += [
-        VersionedRecord(
-            ObjectKey("registered_server", f"s{number}"),
-            1 + number,
-            BackendServer(
-                address=f"10.0.1.{number}:80", failure_domain="a", service="filing"
-            ),
-        )
-        for number in range(ENGINES)
+        for number in range(SERVERS)
     ]
+    servers += [build_registration(n, "plain", "filing") for n in range(SERVERS)]
     key = ObjectKey("configuration", "main")
     return {
         Feed.CONFIGURATION: Listing(1, (VersionedRecord(key, 1, configuration),)),
-        Feed.SERVERS: Listing(ENGINES, tuple(engines)),
+        Feed.SERVERS: Listing(SERVERS, tuple(servers)),
         Feed.RECORDS: Listing(1, ()),
     }
 
 
+def build_registration(
+    number: int, kind: str, service: str, **fields: Any
+) -> VersionedRecord:
+    """Return the registration of a backend server."""
+    server = BackendServer(
+        address=f"10.0.0.{number}:80", failure_domain="a", service=service, **fields
+    )
+    key = ObjectKey("registered_server", f"{kind}{number}")
+    return VersionedRecord(key, 1 + number, server)
+
+
 def build_hosts(routing: str = "prefix_affinity") -> list[DaemonState]:
     """Return hosts that know the engines, and nothing of each other's work."""
     listings = build_listings()
