Refuse an interval of zero between host records

Cause: since a record's time is counted in intervals, and an interval of zero, which the settings accepted, would divide by zero at the first write.

Test: a case of test_violations, which failed before (the settings were accepted).

--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -163,8 +163,9 @@
     """
 
     listen: str = ""
-
-    publish_interval: Seconds = Seconds(1.5)
+    publish_interval: Seconds = attrs.field(
+        default=Seconds(1.5), validator=validators.gt(Seconds(0))
+    )
     silence: Seconds = Seconds(6.0)
 
 
--- a/packages/geraniumhall-wire/tests/test_settings.py
+++ b/packages/geraniumhall-wire/tests/test_settings.py
@@ -45,6 +45,7 @@
             HOST + "callers: {listen: here}": (
                 "riga-1.yaml: $.callers.listen: expected an address"
             ),
+            HOST + "hosts: {publish_interval: 0s}": "'publish_interval' must be > 0",
             HOST + "routing: {policy: best}": "unknown routing policy 'best'",
             "host: {name: riga-1}": "$.host.failure_domain: required field missing",
             "": "riga-1.yaml: $: expected a mapping",
