Log the shared parts of a prompt when an attempt fails

Which hypothesis on the crashing part holds could not be told from the logs: they had neither the parts of a prompt nor whether an answer had begun. attempt_failed now has shared_parts (ids, no text; the last part, the request's own, is left out) and began. No logic changes.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -60,7 +60,12 @@
 def log_attempt_failed(
     level: str, record: RequestRecord, outcome: AttemptOutcome, reason: str
 ) -> WriteLog:
-    """Log why an attempt failed, and whether the request may have run."""
+    """Log why an attempt failed, and whether the request may have run.
+
+    `shared_parts` are the ids of the prompt's parts but the last; with `began` false no
+    event of the answer had come.
+    """
+    shared = " ".join(part.id for part in record.request.parts[:-1])
     return WriteLog(
         level=level,
         event="attempt_failed",
@@ -71,6 +76,8 @@
             LogField("outcome", outcome.value),
             LogField("reason", reason),
             LogField("verdict", record.verdict.value),
+            LogField("began", record.response_started),
+            LogField("shared_parts", shared),
         ),
     )
 
