--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from geraniumhall_bench.simulation.engines import SimulatedEngines
 from geraniumhall_bench.simulation.records import (
     DeliveredDuty,
     EventBuilder,
@@ -75,6 +76,7 @@
     back. Each predicate in `delayed_calls` delays the first platform call that
     it matches by `PLATFORM_DELAY_SECONDS`. `duty_latencies` holds the latency of
     duty calls of hosts whose packets are lost on the way and sent again.
+    `peer_loss` is the fraction of messages between hosts that are lost.
     """
 
     random: Random
@@ -90,6 +92,8 @@
     order_answers_to_drop: int = 0
     order_latency: float = 0.01
     servers: dict[str, SimulatedServer] = attrs.field(factory=dict)
+    engines: SimulatedEngines = attrs.field(factory=SimulatedEngines)
+    peer_loss: float = 0.0
     relayed_requests: list[RelayedRequest] = attrs.field(factory=list)
     refused_requests: list[RefusedRequest] = attrs.field(factory=list)
     admin_answers: dict[int, AdminAnswer] = attrs.field(factory=dict)
@@ -291,7 +295,9 @@
         """Deliver a message to the daemons whose links are not blocked."""
         for address in effect.addresses:
             target = self.daemons.get(address)
-            if target is not None and (host, address) not in self.blocked_links:
+            if target is None or (host, address) in self.blocked_links:
+                continue
+            if not self.peer_loss or self.random.random() >= self.peer_loss:
                 self._schedule(self.peer_latency, self._build_delivery(target, effect))
 
     def _build_delivery(self, target: SimulatedDaemon, effect: SendToPeers) -> Callable:
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
@@ -28,7 +28,7 @@
     WriteDump,
     WriteLog,
 )
-from geraniumhall_core.events import AttemptEnded, PlatformAnswered
+from geraniumhall_core.events import AttemptEnded, PlatformAnswered, ResponseStarted
 from geraniumhall_core.platform import PlatformAnswer
 from geraniumhall_core.requests import AttemptOutcome
 from geraniumhall_core.verdict import Verdict
@@ -73,23 +73,29 @@
 
 @SIMULATION_PERFORMERS.performs(RelayRequest)
 def relay_request(context: PerformerContext, effect: RelayRequest) -> None:
-    """Record the request and complete its attempt after `service_seconds`."""
+    """Record the request and relay it to a simulated engine.
+
+    Its answer begins after the engines' `begin_seconds`, if they are modelled, and
+    is complete after `service_seconds`.
+    """
     cluster, daemon = context
     record = daemon.state.requests[effect.request_id]
     host = daemon.state.policy.host
     cluster.relayed_requests.append(
         RelayedRequest(cluster.now, host, record.workspace, effect)
     )
+    engines, request = cluster.engines, record.request
+    server, attempt_id = effect.server, effect.attempt_id
 
-    def complete_attempt() -> None:
+    def end_attempt(outcome: AttemptOutcome, verdict: Verdict) -> None:
         cluster.dispatch(
             daemon,
             lambda at: AttemptEnded(
                 at=at,
                 request_id=effect.request_id,
-                attempt_id=effect.attempt_id,
-                outcome=AttemptOutcome.COMPLETED,
-                verdict=Verdict.RAN,
+                attempt_id=attempt_id,
+                outcome=outcome,
+                verdict=verdict,
                 wall_time=at,
                 draws=cluster.draw(),
                 prompt_tokens=PROMPT_TOKENS,
@@ -97,6 +103,35 @@
             ),
         )
 
+    def break_off() -> None:
+        end_attempt(AttemptOutcome.BROKEN, Verdict.MAY_HAVE_RUN)
+
+    def fail_to_connect() -> None:
+        end_attempt(AttemptOutcome.CONNECT_FAILED, Verdict.NOT_RUN)
+
+    def begin_answer() -> None:
+        engines.begin(cluster.now, server, request)
+        if engines.is_open(server, attempt_id):
+            cluster.dispatch(
+                daemon,
+                lambda at: ResponseStarted(
+                    at=at,
+                    request_id=effect.request_id,
+                    attempt_id=attempt_id,
+                    wall_time=at,
+                ),
+            )
+
+    def complete_attempt() -> None:
+        if engines.is_open(server, attempt_id):
+            engines.finish(server, attempt_id)
+            end_attempt(AttemptOutcome.COMPLETED, Verdict.RAN)
+
+    if not engines.accept(cluster.now, server, attempt_id, request, break_off):
+        cluster.call_later(cluster.peer_latency, fail_to_connect)
+        return
+    if request.parts:
+        cluster.call_later(engines.begin_seconds, begin_answer)
     cluster.call_later(cluster.service_seconds, complete_attempt)
 
 
