Take a stream that ends inside an event as broken off

Callers could get part of a stream as a complete success: a stream with neither length nor chunks ends with its connection, and the platform's front went by the framing alone. A stream is now complete only after the end of an event, whatever its framing, and without a framing only if it has one. The same cause elsewhere: on both fronts a stream that was complete without any byte was answered as a whole before its scanner was asked; it is a failed attempt now.

A limit: a stream without framing that is closed in order between two events can't be told from a whole one. Shown not to happen here, by tests that passed before: an answer's head that stops anywhere gives 502; a stream that broke off after an event is cut and no further server is asked; an error after a stream that never began is passed on whole.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -164,6 +164,8 @@
     async def _forward_response(self, head: ResponseHead, first: bytes | None) -> None:
         connection = self.exchange.connection
         headers = head.select_end_to_end()
+        if self.is_complete and not self._scan().is_complete:
+            raise ExchangeFailedError("the stream ended before its first event")
         if self.is_complete:
             await connection.send_response(
                 head.status, headers, first or b"", self.exchange.must_close
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/scanners.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/scanners.py
@@ -15,6 +15,8 @@
 from geraniumhall_core.registry import Registry
 
 STREAM_END = b"data: [DONE]"
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+MAX_EVENT_END_BYTES = 4
 MAX_TAIL_BYTES = 2048
 MAX_SCANNED_BYTES = 1 << 20
 
@@ -61,6 +63,28 @@
         return ScanResult(is_complete=True)
 
 
+@attrs.define
+class EventScanner:
+    """Reports a stream as complete if it ends after an event.
+
+    `tail` holds the last bytes, as many as an event's end can have. With
+    `needs_event` a stream without any event is not complete.
+    """
+
+    needs_event: bool
+    tail: bytes = b""
+
+    def feed(self, chunk: bytes) -> None:
+        """Keep the last bytes."""
+        self.tail = (self.tail + chunk)[-MAX_EVENT_END_BYTES:]
+
+    def finish(self) -> ScanResult:
+        """Return whether the last event is whole, without counts."""
+        if not self.tail:
+            return ScanResult(is_complete=not self.needs_event)
+        return ScanResult(is_complete=self.tail.endswith(EVENT_ENDS))
+
+
 @SCANNERS.register(b"text/event-stream")
 @attrs.define
 class StreamScanner:
--- a/packages/geraniumhall-wire/tests/test_answers.py
+++ b/packages/geraniumhall-wire/tests/test_answers.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from geraniumhall_wire.scanners import ScanResult, choose_scanner
+from geraniumhall_wire.scanners import EventScanner, ScanResult, choose_scanner
 
 USAGE = b'data: {"usage":{"prompt_tokens":7,"completion_tokens":2}}\n\n'
 TOKEN = b'data: {"choices":[]}\n\n'
@@ -17,6 +17,30 @@
     return scanner.finish()
 
 
+class EventScannerTest(unittest.TestCase):
+    """A stream is complete if it ends after an event."""
+
+    def scan(self, *chunks: bytes, needs_event: bool = False) -> bool:
+        """Return whether a stream of these chunks is complete."""
+        scanner = EventScanner(needs_event)
+        for chunk in chunks:
+            scanner.feed(chunk)
+        return scanner.finish().is_complete
+
+    def test_end_of_an_event_in_pieces(self) -> None:
+        """The end of the last event may arrive in several chunks."""
+        for end in (b"\n\n", b"\r\n\r\n", b"\r\r"):
+            with self.subTest(end=end):
+                pieces = [end[i : i + 1] for i in range(len(end))]
+                self.assertTrue(self.scan(b"data: a", *pieces))
+                self.assertFalse(self.scan(b"data: a", *pieces[:-1]))
+
+    def test_stream_without_events(self) -> None:
+        """Only the framing can say that an empty stream is complete."""
+        self.assertTrue(self.scan())
+        self.assertFalse(self.scan(needs_event=True))
+
+
 class StreamScannerTest(unittest.TestCase):
     """A stream is complete only with its end marker."""
 
