--- a/packages/geraniumhall-bench/src/geraniumhall_bench/standins/replica.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/standins/replica.py
@@ -43,7 +43,8 @@
 def serve_replica(state: StandInState, event: CallArrived) -> Iterator[Reply]:
     """Answer a prefill, a request or the release of a KV handle.
 
-    A request for another instance or phase is answered with status 421.
+    A request for another instance or phase is answered with status 421. Refusals name
+    their request, as all answers do.
     """
     model: ReplicaModel = state.model
     if event.head.path.startswith(HANDLE_PREFIX):
@@ -52,11 +53,13 @@
         return
     is_prefill = _read_header(event, b"x-serving-phase") == "prefill"
     is_misdirected = _read_header(event, b"x-expect-instance") != state.name
+    named: Header = (b"x-request-id", _read_header(event, b"x-request-id").encode())
     if is_misdirected or is_prefill != (model.phase == "prefill"):
         instance_header: Header = (b"x-instance-id", state.name.encode())
-        yield Reply.from_json(event.call_id, 421, {}, (instance_header,))
+        yield Reply.from_json(event.call_id, 421, {}, (instance_header, named))
     elif model.full:
-        yield Reply.from_json(event.call_id, 503, {}, ((b"x-not-executed", b"1"),))
+        refused: Header = (b"x-not-executed", b"1")
+        yield Reply.from_json(event.call_id, 503, {}, (refused, named))
     elif is_prefill:
         yield _prefill(model, event)
     else:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -108,8 +108,9 @@
 
     async def _attempt(self) -> AttemptResult:
         effect = self.effect
+        exchange = self.exchange.call.request.caller_id
         upstream = await self.daemon.pool.acquire(
-            effect.address, effect.reuse, effect.max_connections
+            effect.address, effect.reuse, effect.max_connections, exchange
         )
         self.upstream = upstream
         self.is_sent = True
@@ -137,6 +138,8 @@
         self, kind: ResponseKind, head: ResponseHead
     ) -> AttemptResult:
         outcome, verdict = OUTCOMES_BY_KIND[kind]
+        if verdict is Verdict.NOT_RUN and self.upstream is not None:
+            self.upstream.refused.add(self.exchange.call.request.caller_id)
         await self._read_buffered()
         reason = f"the backend server returned status {head.status}"
         return AttemptResult(outcome, verdict, reason=reason)
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -23,6 +23,7 @@
 RECEIVE_BYTES = 65536  # at most, in one read
 MAX_FETCHED_BYTES = 16 * 2**20  # of a body that is read as a whole
 MAX_INFORMATIONAL_HEADS = 16  # before the final response
+MAX_REFUSED = 64  # refused exchanges on one connection
 BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE"})
 KEEP_ALIVE_PATTERN = compile_pattern(rb"timeout=(\d+)")
 KEEP_ALIVE_FRACTION = 0.7  # of the server's keep-alive timeout
@@ -71,7 +72,9 @@
 class ClientConnection:
     """A connection to a server; times are in seconds.
 
-    `idle_since` is on trio's clock.
+    `idle_since` is on trio's clock. `refused` holds the names of the exchanges that
+    the server refused on it: a copy of such a refusal may still arrive, so an exchange
+    of the same name takes another connection.
     """
 
     _stream: trio.abc.Stream
@@ -79,6 +82,7 @@
     _http: h11.Connection
     idle_since: float = 0.0
     server_idle_timeout: float = float("inf")
+    refused: set[str] = attrs.field(factory=set)
     _is_body_complete: bool = attrs.field(default=False, init=False)
     _needs_data: bool = attrs.field(default=True, init=False)
 
@@ -241,10 +245,15 @@
     _next_expiry_check: float = attrs.field(default=float("-inf"), init=False)
 
     async def acquire(
-        self, address: str, reuse: bool = True, limit: int | None = None
+        self,
+        address: str,
+        reuse: bool = True,
+        limit: int | None = None,
+        exchange: str = "",
     ) -> ClientConnection:
         """Return an idle connection or a new one; raises `ConnectFailedError`.
 
+        No connection is reused on which an `exchange` of that name was refused.
         If the address has `limit` open connections and a new one is needed,
         its oldest idle connections are closed first. Connections in use are not
         closed for it, so these may exceed the limit.
@@ -253,7 +262,7 @@
         idle = self._idle.get(address, [])
         while reuse and idle:
             connection = idle.pop()
-            if self._is_usable(connection):
+            if self._is_usable(connection) and exchange not in connection.refused:
                 return connection
             await self.discard(address, connection)
         while limit is not None and idle and self._open[address] >= limit:
@@ -263,7 +272,9 @@
     async def release(self, address: str, connection: ClientConnection) -> None:
         """Keep a connection whose exchange is complete, if it can be reused."""
         idle = self._idle.setdefault(address, [])
-        if len(idle) >= self.max_idle or not connection.start_next_cycle():
+        is_kept = len(idle) < self.max_idle
+        is_kept = is_kept and len(connection.refused) < MAX_REFUSED
+        if not is_kept or not connection.start_next_cycle():
             await self.discard(address, connection)
             return
         connection.idle_since = trio.current_time()
