Log how old the evidence is on which a part is held

Operators could not tell from part_held whether a host acted on evidence of this moment or of an hour ago. The line has evidence_age, in seconds since the host knew the first crash; geraniumhall explain prints it. No decision changes.

--- a/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
@@ -122,7 +122,8 @@
     until = f"for {line['seconds']} s" if line["seconds"] else "until it is released"
     return (
         f"part {line['part']} is held {until} ({line['reason']}, known from"
-        f" {line['learned_from']}); servers that ended under it: {line['crashes']}"
+        f" {line['learned_from']}); servers that ended under it: {line['crashes']},"
+        f" the first {line['evidence_age']} s before"
     )
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
@@ -134,7 +134,7 @@
             )
             known.set_hold(hold, now)
             known.next_write_at = now
-            yield _log_hold(held.part, known, "own evidence")
+            yield _log_hold(held.part, known, "own evidence", now)
             yield from _spread(state, held.part, now)
 
 
@@ -234,7 +234,7 @@
     if isinstance(event.answer, Written):
         known.version = max(known.version, event.answer.version)
         known.set_hold(purpose.hold, event.at)
-        yield _log_hold(purpose.part, known, "trial")
+        yield _log_hold(purpose.part, known, "trial", event.at)
         yield from _tell_peers(state, purpose.part, event.at)
     elif isinstance(event.answer, Conflict):
         yield from _adopt_current(state, purpose.part, event.answer, event.at)
@@ -260,7 +260,7 @@
     if change.record.hold is not None:
         known.stored_hold = change.record.hold.number
     if _merge_record(known, change.record, now):
-        yield _log_hold(part, known, "the store's record")
+        yield _log_hold(part, known, "the store's record", now)
 
 
 def _apply_deletion(known: PartState, part: str, now: float) -> Iterator[Effect]:
@@ -295,7 +295,7 @@
     if not known.merge(message, event.at):
         return
     if known.hold is not None and known.hold != hold:
-        yield _log_hold(message.part, known, f"host {message.host}")
+        yield _log_hold(message.part, known, f"host {message.host}", event.at)
     elif known.hold is None and hold is not None:
         yield _log_release(message.part, hold, f"host {message.host}")
     if state.quarantine.take_forward(event.at):
@@ -362,7 +362,7 @@
     current = conflict.current
     known.version = current.version if current else 0
     if current is not None and _merge_record(known, current.record, now):
-        yield _log_hold(part, known, "the store's record")
+        yield _log_hold(part, known, "the store's record", now)
     stored = current.record if current else None
     known.is_dirty = known.is_dirty and known.build_record() != stored
 
@@ -402,9 +402,11 @@
     )
 
 
-def _log_hold(part: str, known: PartState, source: str) -> WriteLog:
+def _log_hold(part: str, known: PartState, source: str, now: float) -> WriteLog:
+    """Log a hold; `evidence_age` is in seconds since this host knew the first crash."""
     hold = known.hold
     assert hold is not None
+    age = max(0.0, now - known.suspected_at)
     return WriteLog(
         level="warning",
         event="part_held",
@@ -415,6 +417,7 @@
             LogField("reason", hold.source),
             LogField("trial_host", hold.trial_host),
             LogField("crashes", _list_servers(known)),
+            LogField("evidence_age", round(age, 3)),
             LogField("learned_from", source),
         ),
     )
