--- a/packages/geraniumhall-cli/tests/test_commands.py
+++ b/packages/geraniumhall-cli/tests/test_commands.py
@@ -1,9 +1,11 @@
 """Tests of the operators' command line: output and exit codes."""
 
 import os
+import re
 import subprocess
 import sys
 import unittest
+from json import loads
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -51,6 +53,37 @@
         self.assertIn("$.drain.grace: missing unit", result.stderr)
 
 
+class PartTest(unittest.TestCase):
+    """Operators hold and release parts of prompts on a running daemon."""
+
+    def test_part_is_held_listed_and_released(self) -> None:
+        """A part that is held by hand is listed until it is released."""
+        settings = Path(__file__).resolve().parents[3] / "examples" / "solo.yaml"
+        free = re.sub(r"127\.0\.0\.1:80(80|81)\b", "127.0.0.1:0", settings.read_text())
+        with TemporaryDirectory() as folder:
+            file = Path(folder) / "solo.yaml"
+            file.write_text(free)
+            process = subprocess.Popen(
+                [str(BINARY) + "d", "--settings", str(file)],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            assert process.stdout is not None
+            admin = ("--admin", str(loads(process.stdout.readline())["admin"]))
+            held = run(*admin, "part", "hold", "5c1e07a2")
+            held_again = run(*admin, "part", "hold", "5c1e07a2")
+            listed = run(*admin, "part", "list")
+            released = run(*admin, "part", "release", "5c1e07a2")
+            empty = run(*admin, "part", "list")
+            process.terminate()
+            process.communicate(timeout=30)
+        results = (held, held_again, listed, released, empty)
+        self.assertEqual([r.returncode for r in results], [0] * len(results), results)
+        self.assertIn("5c1e07a2", listed.stdout)
+        self.assertIn("operator", listed.stdout)
+        self.assertNotIn("5c1e07a2", empty.stdout)
+
+
 class FormatTest(unittest.TestCase):
     """Results are printed as aligned tables and indented fields."""
 
--- a/packages/geraniumhall-cli/tests/test_explanations.py
+++ b/packages/geraniumhall-cli/tests/test_explanations.py
@@ -53,6 +53,33 @@
 class TimelineTest(unittest.TestCase):
     """The events of one request are formatted in order of time."""
 
+    def test_held_part_is_named_with_its_crashes(self) -> None:
+        """A refusal for a held part shows the part and the engines that ended."""
+        hold = build_line(
+            9.9,
+            "part_held",
+            part="5c1e07a2",
+            number=1,
+            seconds=15.0,
+            reason="crashes",
+            trial_host="",
+            crashes="e1 e2",
+            evidence_age=0.4,
+            learned_from="own evidence",
+        )
+        refused = build_line(
+            10.0,
+            "request_refused",
+            request="h1-9",
+            caller_id="c9",
+            code="part_held",
+            reason="part '5c1e07a2' of the prompt is held",
+            catalogue_age=0.1,
+        )
+        stories = [line.story for line in explain_request([refused, hold], "c9")]
+        self.assertIn("servers that ended under it: e1 e2", stories[0])
+        self.assertIn("refused, part_held", stories[1])
+
     def test_lines_come_in_order(self) -> None:
         """Events are sorted by time, whatever their order in the log."""
         timeline = explain_request([GIVEN_UP, FAILED], "c3f0")
