--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -536,8 +536,8 @@
         16,
         "held parts are admitted",
         f"{CORE}/handlers/admission.py",
-        "    if part is None:\n        yield from _admit_arrival(state, event, admitted)",
-        "    if True:\n        yield from _admit_arrival(state, event, admitted)",
+        "    if part is None:\n        yield from _admit_arrival",
+        "    if True:\n        yield from _admit_arrival",
         "core/tests/test_quarantine",
     ),
     Mutation(
