Bound the parts of a prompt that are suspected

A caller could make a host's reducer fail: an engine that ends under requests with more shared parts than a host keeps evidence on dropped the first of them while the crash was being recorded, and reporting those raised KeyError. Found by reading; the test with 20 prompts of 40 parts raised it before. Of a prompt the latest 32 shared parts are used, and a part that was dropped meanwhile is created again. Recent crashes are bounded too.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
@@ -369,7 +369,7 @@
 
 def _spread(state: DaemonState, part: str, now: float) -> Iterator[Effect]:
     """Tell other hosts what changed here, and write it to the store."""
-    known = state.quarantine.parts[part]
+    known = state.quarantine.get_part(part, now)
     known.is_dirty = True
     yield from _tell_peers(state, part, now)
     yield from _save_part(state, part, known, now)
@@ -378,7 +378,8 @@
 def _tell_peers(state: DaemonState, part: str, now: float) -> Iterator[Effect]:
     peers = tuple(list_peers(state, now).values())
     if peers and state.policy.peer_address:
-        report = state.quarantine.parts[part].build_report(state.policy.host, part)
+        known = state.quarantine.get_part(part, now)
+        report = known.build_report(state.policy.host, part)
         yield SendToPeers(addresses=peers, message=report)
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/quarantine.py
@@ -32,6 +32,8 @@
 CRASHES_TO_HOLD_DOUBTFUL = 3
 RECENT_SECONDS = 10.0
 MAX_PARTS = 256
+MAX_SHARED_PARTS = 32  # of one prompt, the latest
+MAX_RECENT = 1024
 MAX_SOUND_PARTS = 4096
 MAX_CRASHES = 16  # of one part
 FORWARD_RATE = 32.0  # reports of other hosts, a second
@@ -354,7 +356,8 @@
     def record_crashes(self, crashes: Iterable[CrashId], now: float) -> None:
         """Record that crashes became known, and forget those that are not recent."""
         for crash_id in crashes:
-            self.recent.setdefault(crash_id, now)
+            if len(self.recent) < MAX_RECENT:
+                self.recent.setdefault(crash_id, now)
         self.recent = {
             crash_id: known_at
             for crash_id, known_at in self.recent.items()
@@ -448,8 +451,13 @@
 
 
 def list_shared_parts(request: CallerRequest) -> tuple[str, ...]:
-    """Return the names of a request's parts but the last, which is its own."""
-    return tuple(dict.fromkeys(name_part(part.id) for part in request.parts[:-1]))
+    """Return the names of a request's parts but the last, which is its own.
+
+    Of a long prompt only the latest `MAX_SHARED_PARTS` are returned: fewer requests
+    share them than the first ones.
+    """
+    shared = request.parts[:-1][-MAX_SHARED_PARTS:]
+    return tuple(dict.fromkeys(name_part(part.id) for part in shared))
 
 
 def name_part(part_id: str) -> str:
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -45,6 +45,7 @@
 from geraniumhall_core.quarantine import (
     MAX_PARTS,
     MAX_SOUND_PARTS,
+    BrokenRequest,
     CrashId,
     PartCrash,
     PartHold,
@@ -649,6 +650,25 @@
             quarantine.record_sound(f"p{number}", float(number))
         self.assertEqual(len(quarantine.sound_at), MAX_SOUND_PARTS)
 
+    def test_many_long_prompts_that_break_off_together(self):
+        """Requests with more parts than are kept end on one server."""
+        state = build_state()
+        crash_id = CrashId("e1", 0)
+        for number in range(20):
+            names = tuple(f"p{number}-{index}" for index in range(40))
+            parts = (*(PromptPart(name, 1) for name in names), PARTS[-1])
+            request = CallerRequest(
+                request_id=f"r{number}", target=ModelTarget("draft"), parts=parts
+            )
+            broken = BrokenRequest(f"r{number}", list_shared_parts(request), 2.0)
+            state.breaks.setdefault(crash_id, []).append(broken)
+        probed = ServerProbed(
+            at=2.1, server="e1", incarnation=0, is_refused=True, draws=DRAWS
+        )
+        reduce(state, probed)
+        tick(state, 2.3)
+        self.assertLessEqual(len(state.quarantine.parts), MAX_PARTS)
+
     def test_old_evidence_is_forgotten(self):
         """A single crash does not stay for ever."""
         state = build_state()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -432,8 +432,8 @@
         16,
         "the last part counts",
         f"{CORE}/quarantine.py",
-        "for part in request.parts[:-1]))",
-        "for part in request.parts))",
+        "shared = request.parts[:-1][-MAX_SHARED_PARTS:]",
+        "shared = request.parts[-MAX_SHARED_PARTS:]",
         "core/tests/test_quarantine",
     ),
     Mutation(
