Let a release that overtakes its hold apply

Datagrams may change their order. A host that heard of the release of a part before the hold adopted the hold, and refused sound requests until its own trial, 15 s later at the earliest. Found by reading; test_release_that_overtakes_the_hold_applies failed before. A release is now remembered also where there is nothing to release yet.

--- a/packages/geraniumhall-core/src/geraniumhall_core/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/quarantine.py
@@ -183,7 +183,7 @@
         """Refute crashes and end holds up to `released`; return whether this is new."""
         refuted = [item for item in crashes if item not in self.refuted]
         ends_hold = self.hold is not None and self.hold.number <= released
-        if not refuted and not ends_hold:
+        if not refuted and not ends_hold and released <= self.released:
             return False
         for crash_id in refuted:
             self.refuted[crash_id] = None
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -622,6 +622,13 @@
         self.assertFalse(state.quarantine.is_held(PART))
         self.assertEqual(state.quarantine.parts[PART].crashes, {})
 
+    def test_release_that_overtakes_the_hold_applies(self):
+        """Datagrams may arrive in another order than they were sent."""
+        state = build_state()
+        self.receive(state, released=1)
+        self.receive(state, hold=HOLD)
+        self.assertFalse(state.quarantine.is_held(PART))
+
     def test_crash_of_another_host_counts(self):
         """Each host sees few crashes; the second of two may be its first."""
         state = build_state()
