Let an operator's release reach the host that wrote the hold

The host that had stored a hold kept refusing requests with the part after an operator had deleted the record: it knew the stored hold only from the feed, which repeats its own version and was ignored. Found by reading; test_deleted_record_releases_a_hold_of_this_host failed before. What the store holds is now recorded after own writes as well.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
@@ -233,6 +233,7 @@
     known.is_writing = False
     if isinstance(event.answer, Written):
         known.version = max(known.version, event.answer.version)
+        known.stored_hold = purpose.hold.number
         known.set_hold(purpose.hold, event.at)
         yield _log_hold(purpose.part, known, "trial", event.at)
         yield from _tell_peers(state, purpose.part, event.at)
@@ -256,9 +257,7 @@
         if not known.is_dirty:
             yield from _apply_deletion(known, part, now)
         return
-    known.version = change.version
-    if change.record.hold is not None:
-        known.stored_hold = change.record.hold.number
+    known.record_stored(change.version, change.record)
     if _merge_record(known, change.record, now):
         yield _log_hold(part, known, "the store's record", now)
 
@@ -343,7 +342,7 @@
     known.is_writing = False
     answer = event.answer
     if isinstance(answer, Written):
-        known.version = answer.version if purpose.record is not None else 0
+        known.record_stored(answer.version, purpose.record)
         known.is_dirty = known.build_record() != purpose.record
     elif isinstance(answer, Conflict):
         yield from _adopt_current(state, purpose.part, answer, event.at)
@@ -360,7 +359,9 @@
 ) -> Iterator[Effect]:
     known = state.quarantine.parts[part]
     current = conflict.current
-    known.version = current.version if current else 0
+    known.record_stored(
+        current.version if current else 0, current.record if current else None
+    )
     if current is not None and _merge_record(known, current.record, now):
         yield _log_hold(part, known, "the store's record", now)
     stored = current.record if current else None
--- a/packages/geraniumhall-core/src/geraniumhall_core/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/quarantine.py
@@ -245,6 +245,12 @@
         number = self.hold.number if self.hold else 0
         self.clear(list(self.crashes), number, now)
 
+    def record_stored(self, version: int, record: PartRecord | None) -> None:
+        """Record what the store holds; None if there is no record any more."""
+        self.version = version if record is not None else 0
+        if record is not None and record.hold is not None:
+            self.stored_hold = record.hold.number
+
     def build_record(self) -> PartRecord | None:
         """Return what is to be stored, or None if nothing is held against the part."""
         if not self.crashes and self.hold is None:
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -547,6 +547,20 @@
         apply_feed_answer(state, Feed.RECORDS, Changes(300, (change,)), at=3.0)
         find_effect(start_request(state, "r1", 3.1), RelayRequest)
 
+    def test_deleted_record_releases_a_hold_of_this_host(self):
+        """A host that wrote the hold obeys the operator's deletion too."""
+        state = build_state()
+        known = state.quarantine.get_part(PART, 3.0)
+        known.set_hold(HOLD, 3.0)
+        known.is_dirty = True
+        saved = find_effect(tick(state, 3.1), CallPlatform)
+        reduce(state, build_answer(saved.purpose, Written(250), at=3.2))
+        own = VersionedRecord(KEY, 250, saved.message.record)
+        apply_feed_answer(state, Feed.RECORDS, Changes(250, (own,)), at=3.3)
+        change = VersionedRecord(KEY, 300, DELETED)
+        apply_feed_answer(state, Feed.RECORDS, Changes(300, (change,)), at=3.4)
+        self.assertFalse(state.quarantine.is_held(PART))
+
     def test_operator_hold_needs_no_crash_and_has_no_trial(self):
         """It stays until it is released, and no time to wait is given."""
         state = build_state()
