Delete the record of a hold that another host's answer has ended

An answer can end a hold on a host that has heard of it by datagram and has not read its record yet. That host deleted nothing, so the record stayed, and hosts that started later refused sound requests until their trial. Found by reading; test_record_of_a_released_hold_is_deleted failed before. The hosts that saw the crashes of a stored record delete it once nothing is held against the part any more.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
@@ -311,9 +311,23 @@
         elif not known.is_writing:
             del state.quarantine.parts[part]
     for part, known in state.quarantine.parts.items():
+        if _is_record_refuted(state, part, known):
+            known.is_dirty = True
         yield from _save_part(state, part, known, now)
 
 
+def _is_record_refuted(state: DaemonState, part: str, known: PartState) -> bool:
+    """Return whether a stored record is refuted that this host has to delete.
+
+    The hosts that saw its crashes delete it, since the host whose answer refuted it may
+    not have read it yet.
+    """
+    stored = state.catalogue.tables[PART_KIND].get(part)
+    if stored is None or known.build_record() is not None or not known.version:
+        return False
+    return any(crash.host == state.policy.host for crash in stored.crashes)
+
+
 def _save_part(
     state: DaemonState, part: str, known: PartState, now: float
 ) -> Iterator[Effect]:
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -561,6 +561,20 @@
         apply_feed_answer(state, Feed.RECORDS, Changes(300, (change,)), at=3.4)
         self.assertFalse(state.quarantine.is_held(PART))
 
+    def test_record_of_a_released_hold_is_deleted(self):
+        """A host that saw a crash removes what another host's answer has refuted."""
+        state = build_state()
+        crash = build_crash("e9", host="h1")
+        stored = PartRecord(crashes=(crash,), hold=HOLD)
+        change = VersionedRecord(KEY, 200, stored)
+        apply_feed_answer(state, Feed.RECORDS, Changes(200, (change,)), at=2.0)
+        report = PartReport(
+            host="h2", part=PART, refuted=(crash.crash_id,), released=HOLD.number
+        )
+        reduce(state, PeerMessageReceived(at=2.5, message=report, draws=DRAWS))
+        calls = [e for e in tick(state, 2.6) if isinstance(e, CallPlatform)]
+        self.assertIn(DeleteObject(KEY, 200), [call.message for call in calls])
+
     def test_operator_hold_needs_no_crash_and_has_no_trial(self):
         """It stays until it is released, and no time to wait is given."""
         state = build_state()
