--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -553,7 +553,8 @@
         known = state.quarantine.get_part(PART, 3.0)
         known.set_hold(HOLD, 3.0)
         known.is_dirty = True
-        saved = find_effect(tick(state, 3.1), CallPlatform)
+        calls = [e for e in tick(state, 3.1) if isinstance(e, CallPlatform)]
+        saved = next(call for call in calls if isinstance(call.purpose, SavePart))
         reduce(state, build_answer(saved.purpose, Written(250), at=3.2))
         own = VersionedRecord(KEY, 250, saved.message.record)
         apply_feed_answer(state, Feed.RECORDS, Changes(250, (own,)), at=3.3)
