Split parts, hold policies, records of parts and retries from long modules

Pure moves: parts.py (one part), holding.py (policies), quarantine.py (the table); handlers part_records.py (datagrams and store), part_logs.py, retries.py and waiting.py. Names that are used across modules lose their underscore; mutations follow.

--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -18,7 +18,7 @@
 
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.orders import DesiredRole, ServerRole
-from geraniumhall_core.quarantine import PART_KIND
+from geraniumhall_core.parts import PART_KIND
 from geraniumhall_core.records import DELETED, RECORD_KINDS, ObjectKey, VersionedRecord
 
 CONFIGURATION_KIND = "configuration"
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -16,11 +16,8 @@
     start_borrowing,
 )
 from geraniumhall_core.handlers.limits import compute_cost, refund_cost, spend_tokens
-from geraniumhall_core.handlers.quarantine import (
-    claim_trial,
-    describe_hold,
-    find_held_part,
-)
+from geraniumhall_core.handlers.part_records import claim_trial
+from geraniumhall_core.handlers.quarantine import describe_hold, find_held_part
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.request_logs import log_refusal
 from geraniumhall_core.keys import Credential
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -22,7 +22,6 @@
 from geraniumhall_core.handlers.placement import (
     Placement,
     find_placement,
-    has_alternative,
     place_decode,
     record_prompt_use,
 )
@@ -41,6 +40,11 @@
     log_placement,
     log_progress,
 )
+from geraniumhall_core.handlers.retries import (
+    SERVER_FAULT_OUTCOMES,
+    can_retry_error,
+    may_retry,
+)
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import (
     DEADLINE_EXCEEDED,
@@ -52,15 +56,6 @@
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
-SERVER_FAULT_OUTCOMES = frozenset(
-    {
-        AttemptOutcome.CONNECT_FAILED,
-        AttemptOutcome.MISDIRECTED,
-        AttemptOutcome.BROKEN,
-        AttemptOutcome.SERVER_ERROR,
-    }
-)
-RETRYABLE_OUTCOMES = SERVER_FAULT_OUTCOMES | {AttemptOutcome.BUSY}
 RETRY_AFTER_SECONDS = 0.5
 
 
@@ -95,7 +90,7 @@
         record.kv_cache = event.kv_cache
         yield log_progress("prompt_read", record, event.at)
         yield from _start_decode(state, record, event.at, event.draws)
-    elif _may_retry(state, record, event.outcome, event.at):
+    elif may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
         yield from _start_attempt(state, record, event.at, event.draws)
     else:
@@ -125,7 +120,7 @@
         pause = LogField("longest_pause", round(event.longest_pause, 3))
         yield log_progress("request_completed", record, event.at, pause)
         yield CloseExchange(request_id=event.request_id)
-    elif _may_retry(state, record, event.outcome, event.at):
+    elif may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
         yield log_attempt_failed("info", record, event.outcome, event.reason)
         yield from _release_kv_cache(record, event.verdict)
@@ -180,29 +175,6 @@
         state.get_queue(record.entry).running -= 1
 
 
-def expire_waiting(state: DaemonState, now: float) -> Iterator[Effect]:
-    """Refuse queued requests whose deadline has passed."""
-    for record in list(state.requests.values()):
-        if record.phase is Phase.QUEUED and record.deadline <= now:
-            queue = state.get_queue(record.entry)
-            queue.remove_waiting(record.workspace, record.request.request_id)
-            yield from refuse_accepted(state, record, DEADLINE_EXCEEDED)
-
-
-def refuse_held(state: DaemonState, now: float) -> Iterator[Effect]:
-    """Refuse waiting requests with a part that has been held meanwhile."""
-    if not state.quarantine.count_held():
-        return
-    for record in list(state.requests.values()):
-        if record.phase is Phase.QUEUED:
-            part = find_held_part(state, record)
-            if part is not None:
-                queue = state.get_queue(record.entry)
-                queue.remove_waiting(record.workspace, record.request.request_id)
-                refusal = describe_hold(state, part, now)
-                yield from refuse_accepted(state, record, refusal)
-
-
 def retry_after_probe(
     state: DaemonState,
     record: RequestRecord,
@@ -318,18 +290,10 @@
         workspace=record.workspace,
         priority=record.priority,
         kv_cache=record.kv_cache,
-        hides_errors=_can_retry_error(state, record, now),
+        hides_errors=can_retry_error(state, record, now),
     )
 
 
-def _can_retry_error(state: DaemonState, record: RequestRecord, now: float) -> bool:
-    """Return whether an error response could be retried instead of passed on."""
-    if not record.repeatable or not _has_attempts_left(state, record, 1):
-        return False
-    budget = state.get_retry_budget(record.service)
-    return budget.can_spend() and has_alternative(state, record, now)
-
-
 def _assign_server(
     state: DaemonState, record: RequestRecord, placement: Placement
 ) -> None:
@@ -364,27 +328,6 @@
         state.counters[f"attempts.{outcome.value}"] += 1
 
 
-def _may_retry(
-    state: DaemonState, record: RequestRecord, outcome: AttemptOutcome, now: float
-) -> bool:
-    if outcome not in RETRYABLE_OUTCOMES or record.response_started:
-        return False
-    if not record.repeatable and record.verdict is not Verdict.NOT_RUN:
-        return False
-    if not _has_attempts_left(state, record, 0) or record.deadline <= now:
-        return False
-    if not has_alternative(state, record, now):
-        return False
-    return state.get_retry_budget(record.service).try_spend()
-
-
-def _has_attempts_left(state: DaemonState, record: RequestRecord, planned: int) -> bool:
-    """Return whether one more attempt may run after `planned` further ones."""
-    entry = state.catalogue.entries.get(record.entry)
-    allowed = entry.max_attempts if entry else None
-    return record.runs + planned < (allowed or state.policy.max_attempts)
-
-
 def _fail_request(
     state: DaemonState, record: RequestRecord, outcome: AttemptOutcome, reason: str
 ) -> Iterator[Effect]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -20,14 +20,15 @@
 from geraniumhall_core.events import DaemonStarted, PlatformAnswered
 from geraniumhall_core.handlers.leases import observe_lease
 from geraniumhall_core.handlers.limits import refresh_buckets
+from geraniumhall_core.handlers.part_records import observe_part
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.publishing import (
     discard_sealed_usage,
     observe_hosts,
     restore_from_record,
 )
-from geraniumhall_core.handlers.quarantine import observe_part
 from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.parts import PART_KIND
 from geraniumhall_core.platform import (
     Changes,
     Feed,
@@ -40,7 +41,6 @@
     WatchObjects,
 )
 from geraniumhall_core.purposes import FollowFeed
-from geraniumhall_core.quarantine import PART_KIND
 from geraniumhall_core.records import DELETED, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.retries import compute_backoff
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -17,22 +17,19 @@
     SettingsChanged,
     Ticked,
 )
-from geraniumhall_core.handlers.attempts import expire_waiting, refuse_held
 from geraniumhall_core.handlers.borrowing import expire_rounds
 from geraniumhall_core.handlers.feeds import apply_deferred_deletions
 from geraniumhall_core.handlers.leases import maintain_lease, release_lease
 from geraniumhall_core.handlers.limits import refresh_buckets
 from geraniumhall_core.handlers.orders import reconcile_roles
+from geraniumhall_core.handlers.part_records import save_parts
 from geraniumhall_core.handlers.publishing import publish_host_record, write_host_record
-from geraniumhall_core.handlers.quarantine import (
-    decide_crashes,
-    prove_running,
-    save_parts,
-)
+from geraniumhall_core.handlers.quarantine import decide_crashes, prove_running
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.reports import expire_reports, report_load
 from geraniumhall_core.handlers.scaling import reconcile_scale
 from geraniumhall_core.handlers.usage import advance_usage_sealing
+from geraniumhall_core.handlers.waiting import expire_waiting, refuse_held
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/record_checks.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/record_checks.py
@@ -12,7 +12,7 @@
 )
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.orders import DesiredRole
-from geraniumhall_core.quarantine import PartRecord
+from geraniumhall_core.parts import PartRecord
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.state import DaemonState
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/trials.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/trials.py
@@ -5,17 +5,17 @@
 from geraniumhall_core.events import PlatformAnswered, ServerProbed
 from geraniumhall_core.handlers.admission import admit_record
 from geraniumhall_core.handlers.attempts import refuse_unpaid, retry_after_probe
+from geraniumhall_core.handlers.part_records import conclude_claim
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.quarantine import (
-    conclude_claim,
     describe_hold,
     find_held_part,
     has_restarted,
     report_crash,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.parts import CrashId
 from geraniumhall_core.purposes import ClaimTrial
-from geraniumhall_core.quarantine import CrashId
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.requests import Phase
 from geraniumhall_core.state import DaemonState
--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/waiting.py
@@ -0,0 +1,33 @@
+"""Refuses requests that wait in a queue and can't be served any more."""
+
+from collections.abc import Iterator
+
+from geraniumhall_core.handlers.attempts import refuse_accepted
+from geraniumhall_core.handlers.quarantine import describe_hold, find_held_part
+from geraniumhall_core.reducer import Effect
+from geraniumhall_core.refusals import DEADLINE_EXCEEDED
+from geraniumhall_core.requests import Phase
+from geraniumhall_core.state import DaemonState
+
+
+def expire_waiting(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Refuse queued requests whose deadline has passed."""
+    for record in list(state.requests.values()):
+        if record.phase is Phase.QUEUED and record.deadline <= now:
+            queue = state.get_queue(record.entry)
+            queue.remove_waiting(record.workspace, record.request.request_id)
+            yield from refuse_accepted(state, record, DEADLINE_EXCEEDED)
+
+
+def refuse_held(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Refuse waiting requests with a part that has been held meanwhile."""
+    if not state.quarantine.count_held():
+        return
+    for record in list(state.requests.values()):
+        if record.phase is Phase.QUEUED:
+            part = find_held_part(state, record)
+            if part is not None:
+                queue = state.get_queue(record.entry)
+                queue.remove_waiting(record.workspace, record.request.request_id)
+                refusal = describe_hold(state, part, now)
+                yield from refuse_accepted(state, record, refusal)
--- a/packages/geraniumhall-core/src/geraniumhall_core/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peers.py
@@ -4,7 +4,7 @@
 """
 
 from geraniumhall_core.loans import Loan, LoanRequest
-from geraniumhall_core.quarantine import PartReport
+from geraniumhall_core.parts import PartReport
 from geraniumhall_core.reports import LoadReport
 
 PeerMessage = LoadReport | LoanRequest | Loan | PartReport
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -7,8 +7,8 @@
 
 from geraniumhall_core.leases import Lease
 from geraniumhall_core.orders import OrderIntent
+from geraniumhall_core.parts import PartHold, PartRecord
 from geraniumhall_core.platform import DeleteObject, Feed, PlatformMessage, PutObject
-from geraniumhall_core.quarantine import PartHold, PartRecord
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.usage import WindowUsage
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -12,10 +12,11 @@
 from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
 from geraniumhall_core.loans import BorrowingState
 from geraniumhall_core.orders import OrderState
+from geraniumhall_core.parts import CrashId
 from geraniumhall_core.platform import Feed
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.prefixes import PrefixCaches
-from geraniumhall_core.quarantine import BrokenRequest, CrashId, Quarantine
+from geraniumhall_core.quarantine import BrokenRequest, Quarantine
 from geraniumhall_core.records import VersionedRecord
 from geraniumhall_core.reports import ReportingState, ReportsView
 from geraniumhall_core.requests import RequestRecord
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -32,6 +32,17 @@
     ServerProbed,
     Ticked,
 )
+from geraniumhall_core.holding import Suspicion, choose_repeated_crash, hold_nothing
+from geraniumhall_core.parts import (
+    CrashId,
+    PartCrash,
+    PartHold,
+    PartRecord,
+    PartReport,
+    PartState,
+    list_shared_parts,
+    name_part,
+)
 from geraniumhall_core.platform import (
     Changes,
     Conflict,
@@ -46,18 +57,7 @@
     MAX_PARTS,
     MAX_SOUND_PARTS,
     BrokenRequest,
-    CrashId,
-    PartCrash,
-    PartHold,
-    PartRecord,
-    PartReport,
-    PartState,
     Quarantine,
-    Suspicion,
-    choose_repeated_crash,
-    hold_nothing,
-    list_shared_parts,
-    name_part,
 )
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.requests import (
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -13,15 +13,9 @@
 from msgpack.exceptions import UnpackException
 
 from geraniumhall_core.loans import Loan, LoanRequest
+from geraniumhall_core.parts import PLAIN_NAME, CrashId, PartCrash, PartHold, PartReport
 from geraniumhall_core.peers import PeerMessage
 from geraniumhall_core.prefixes import PartUse, PromptUse
-from geraniumhall_core.quarantine import (
-    PLAIN_NAME,
-    CrashId,
-    PartCrash,
-    PartHold,
-    PartReport,
-)
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -10,10 +10,10 @@
 from attrs import validators
 
 from geraniumhall_core.catalogue import EDITABLE_KINDS
+from geraniumhall_core.holding import HOLD_POLICIES
 from geraniumhall_core.limits import RateTolerance
 from geraniumhall_core.planning import PLANNING_POLICIES
 from geraniumhall_core.policy import Policy
-from geraniumhall_core.quarantine import HOLD_POLICIES
 from geraniumhall_core.records import RECORD_KINDS, ObjectKey
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.routing import ROUTING_POLICIES
--- a/packages/geraniumhall-wire/tests/test_peers.py
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from geraniumhall_core.loans import Loan, LoanRequest
+from geraniumhall_core.parts import CrashId, PartCrash, PartHold, PartReport
 from geraniumhall_core.peers import PeerMessage
 from geraniumhall_core.prefixes import PartUse, PromptUse
-from geraniumhall_core.quarantine import CrashId, PartCrash, PartHold, PartReport
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_wire.converter import InvalidDataError
 from geraniumhall_wire.peers import (
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -375,7 +375,7 @@
     Mutation(
         12,
         "a call that must not be repeated is retried",
-        f"{CORE}/handlers/attempts.py",
+        f"{CORE}/handlers/retries.py",
         "if not record.repeatable and record.verdict is not Verdict.NOT_RUN:",
         "if False:",
         "test_attempts",
@@ -423,7 +423,7 @@
     Mutation(
         16,
         "no part is held",
-        f"{CORE}/quarantine.py",
+        f"{CORE}/holding.py",
         "    return max(\n        guilty,",
         "    return max(\n        [],",
         "test_quarantine",
@@ -431,7 +431,7 @@
     Mutation(
         16,
         "the last part counts",
-        f"{CORE}/quarantine.py",
+        f"{CORE}/parts.py",
         "shared = request.parts[:-1][-MAX_SHARED_PARTS:]",
         "shared = request.parts[-MAX_SHARED_PARTS:]",
         "core/tests/test_quarantine",
@@ -439,7 +439,7 @@
     Mutation(
         16,
         "crashes of one moment count one by one",
-        f"{CORE}/quarantine.py",
+        f"{CORE}/parts.py",
         "following = sum(crash.follows for crash in open_crashes)",
         "following = len(open_crashes)",
         "core/tests/test_quarantine",
@@ -447,7 +447,7 @@
     Mutation(
         16,
         "a part that was answered before is held as early as others",
-        f"{CORE}/quarantine.py",
+        f"{CORE}/holding.py",
         "return self.was_sound or self.recent > 2 * self.crashes",
         "return self.recent > 2 * self.crashes",
         "core/tests/test_quarantine",
@@ -455,7 +455,7 @@
     Mutation(
         16,
         "many crashes without the part are no excuse",
-        f"{CORE}/quarantine.py",
+        f"{CORE}/holding.py",
         "return self.was_sound or self.recent > 2 * self.crashes",
         "return self.was_sound",
         "core/tests/test_quarantine",
@@ -511,7 +511,7 @@
     Mutation(
         16,
         "hosts do not pass knowledge on",
-        f"{CORE}/handlers/quarantine.py",
+        f"{CORE}/handlers/part_records.py",
         "    if state.quarantine.take_forward(event.at):\n",
         "    if False:\n",
         "bench/tests/test_quarantine",
@@ -519,7 +519,7 @@
     Mutation(
         16,
         "knowledge is not stored",
-        f"{CORE}/handlers/quarantine.py",
+        f"{CORE}/handlers/part_records.py",
         "    if not known.is_dirty or known.is_writing or now < known.next_write_at:",
         "    if True:",
         "test_quarantine",
@@ -527,7 +527,7 @@
     Mutation(
         16,
         "a late report restores a hold",
-        f"{CORE}/quarantine.py",
+        f"{CORE}/parts.py",
         "if hold.number <= max(known, self.released):",
         "if hold.number <= known:",
         "core/tests/test_quarantine",
@@ -577,7 +577,7 @@
     Mutation(
         16,
         "an operator's hold is tried",
-        f"{CORE}/quarantine.py",
+        f"{CORE}/parts.py",
         "        if self.hold.seconds is None:\n            return None\n",
         "        if self.hold.seconds is None:\n            return 0.0\n",
         "core/tests/test_quarantine",
