Decode the limit that a server names, and log it

No decision changes.

The front decodes what a server states of itself into one type, ServerNotice, which the events that begin or end an answer carry; server_limit_stated names the limit, its change and its end as one host sees it. A head that may belong to another request has no notice: a foreign one, a misdirected one, and one without the request's id on a connection that may have been used before. Values that are no decimal number, or a huge one, are counted and logged once for each server.

--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -28,7 +28,8 @@
     that a failure to connect proves that nothing was sent. `max_connections` is
     this host's share of the server's connection limit. `workspace` is empty for a
     caller without a key. `priority` is passed to the server for its scheduling;
-    zero is the most urgent.
+    zero is the most urgent. `started_at` names the server's incarnation, and `sent_at`
+    is the time of the decision, in seconds on the host's clock.
     """
 
     request_id: str
@@ -37,6 +38,8 @@
     address: str
     timeout: float
     reuse: bool
+    started_at: int = 0
+    sent_at: float = 0.0
     max_connections: int | None = None
     workspace: str = ""
     priority: int | None = None
--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -8,6 +8,7 @@
 import attrs
 
 from geraniumhall_core.admin import AdminCommand
+from geraniumhall_core.notices import ReceivedNotice
 from geraniumhall_core.orders import OrderIntent, OrderOutcome
 from geraniumhall_core.peers import PeerMessage
 from geraniumhall_core.platform import PlatformAnswer
@@ -42,7 +43,8 @@
 class PrefillEnded(Event):
     """Prefill on a separate backend server ended.
 
-    `kv_cache` refers to the exported KV cache, or is None if there is none.
+    `kv_cache` refers to the exported KV cache, or is None if there is none. `notice` is
+    what the server stated of itself, None if no head that is surely its was read.
     """
 
     request_id: str
@@ -51,15 +53,20 @@
     draws: tuple[float, float]
     kv_cache: KvCacheRef | None = None
     reason: str = ""
+    notice: ReceivedNotice | None = None
 
 
 @attrs.frozen(kw_only=True)
 class ResponseStarted(Event):
-    """The response head was relayed, so the request can't be retried any more."""
+    """The response head was relayed, so the request can't be retried any more.
+
+    `notice` is what the server stated of itself in the head.
+    """
 
     request_id: str
     attempt_id: str
     wall_time: float
+    notice: ReceivedNotice | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -68,7 +75,8 @@
 
     Token counts are those reported by the backend server, or those of the relayed
     response if it reported none. `longest_pause` is the longest time between
-    two parts of the response, in seconds.
+    two parts of the response, in seconds. `notice` is what the server stated of itself,
+    None if `ResponseStarted` had it or no head that is surely the server's was read.
     """
 
     request_id: str
@@ -81,6 +89,7 @@
     prompt_tokens: int = 0
     generated_tokens: int = 0
     reason: str = ""
+    notice: ReceivedNotice | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -19,6 +19,7 @@
     count_tokens,
 )
 from geraniumhall_core.handlers.limits import refund_cost
+from geraniumhall_core.handlers.notices import record_notice
 from geraniumhall_core.handlers.placement import (
     Placement,
     find_placement,
@@ -67,6 +68,7 @@
 
     From then on a retry would be visible to the caller, so none is made.
     """
+    yield from record_notice(state, event.notice, event.at)
     record = state.requests.get(event.request_id)
     if record is not None and record.attempt_id == event.attempt_id:
         record.response_started = True
@@ -80,6 +82,7 @@
 @REDUCER.handles(PrefillEnded)
 def continue_after_prefill(state: DaemonState, event: PrefillEnded) -> Iterator[Effect]:
     """Start the decode phase after a prefill, or retry or fail the request."""
+    yield from record_notice(state, event.notice, event.at)
     record = state.requests.get(event.request_id)
     if record is None or record.attempt_id != event.attempt_id:
         if event.kv_cache is not None:
@@ -102,6 +105,7 @@
 @REDUCER.handles(AttemptEnded)
 def conclude_attempt(state: DaemonState, event: AttemptEnded) -> Iterator[Effect]:
     """Finish the request, or retry on another backend server if that is safe."""
+    yield from record_notice(state, event.notice, event.at)
     record = state.requests.get(event.request_id)
     if record is None or record.attempt_id != event.attempt_id:
         return
@@ -246,6 +250,8 @@
             address=state.catalogue.servers[placement.server].address,
             timeout=record.deadline - now,
             reuse=True,
+            started_at=state.catalogue.servers[placement.server].started_at,
+            sent_at=now,
             max_connections=state.compute_connection_share(placement.server),
             workspace=record.workspace,
             priority=record.priority,
@@ -286,6 +292,8 @@
         address=state.catalogue.servers[placement.server].address,
         timeout=record.deadline - now,
         reuse=record.repeatable,
+        started_at=state.catalogue.servers[placement.server].started_at,
+        sent_at=now,
         max_connections=state.compute_connection_share(placement.server),
         workspace=record.workspace,
         priority=record.priority,
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -11,6 +11,7 @@
 from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
 from geraniumhall_core.loans import BorrowingState
+from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.orders import OrderState
 from geraniumhall_core.parts import CrashId
 from geraniumhall_core.platform import Feed
@@ -189,6 +190,8 @@
     requests: dict[str, RequestRecord] = attrs.field(factory=dict)
     queues: dict[str, EntryQueue] = attrs.field(factory=dict)
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
+    request_limits: dict[Incarnation, float] = attrs.field(factory=dict)
+    invalid_notices: dict[Incarnation, str] = attrs.field(factory=dict)
     prefix_caches: PrefixCaches = attrs.field(factory=PrefixCaches)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     breaks: dict[CrashId, list[BrokenRequest]] = attrs.field(factory=dict)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -13,6 +13,7 @@
     ServerAttempt,
 )
 from geraniumhall_core.events import AttemptEnded, PrefillEnded, ResponseStarted
+from geraniumhall_core.notices import Incarnation, ReceivedNotice
 from geraniumhall_core.requests import AttemptOutcome, KvCacheRef
 from geraniumhall_core.verdict import Verdict
 from geraniumhall_daemon.daemon import PERFORMERS, Daemon
@@ -61,7 +62,8 @@
     `is_sent` is set before the request is sent, and `is_complete` once the body
     of the server's response has ended. `deadline`, `next_deadline_update` and
     `last_chunk_at` are on trio's clock; `longest_pause` is the longest time
-    between two chunks. All are in seconds.
+    between two chunks. All are in seconds. `notice` is what the server stated of
+    itself, until an event has taken it.
     """
 
     daemon: Daemon
@@ -76,6 +78,7 @@
     cancel_scope: trio.CancelScope | None = None
     last_chunk_at: float = 0.0
     longest_pause: float = 0.0
+    notice: ReceivedNotice | None = None
 
     async def run(self) -> AttemptResult:
         """Make the attempt and return its result."""
@@ -121,6 +124,7 @@
         kind = front.classify_response(call, self.effect, head)
         if kind is ResponseKind.FOREIGN:
             raise ExchangeFailedError("the response belongs to another attempt")
+        self._read_notice(head)
         self.scanner = front.choose_scanner(call, head)
         if kind in OUTCOMES_BY_KIND and not self._is_passed_through(kind):
             return await self._read_failure(kind, head)
@@ -128,6 +132,23 @@
             return await self._read_prefill_result()
         return await self._relay(head)
 
+    def take_notice(self) -> ReceivedNotice | None:
+        """Return the server's notice for an event; each is dispatched once."""
+        notice, self.notice = self.notice, None
+        return notice
+
+    def _read_notice(self, head: ResponseHead) -> None:
+        effect = self.effect
+        wall_time = self.daemon.clock.read_wall_time()
+        notice = self.daemon.front.decode_notice(
+            self.exchange.call, effect, head, wall_time
+        )
+        if notice is not None:
+            source = Incarnation(effect.server, effect.started_at)
+            self.notice = ReceivedNotice(
+                source=source, sent_at=effect.sent_at, notice=notice
+            )
+
     def _is_passed_through(self, kind: ResponseKind) -> bool:
         """Return whether the server's error response is relayed to the caller."""
         is_relay = isinstance(self.effect, RelayRequest)
@@ -250,6 +271,7 @@
                 request_id=self.effect.request_id,
                 attempt_id=self.effect.attempt_id,
                 wall_time=self.daemon.clock.read_wall_time(),
+                notice=self.take_notice(),
             )
         )
 
@@ -267,7 +289,8 @@
     daemon: Daemon, exchange: Exchange, effect: PrefillPrompt
 ) -> None:
     """Run the prefill on a backend server and dispatch its result."""
-    result = await Relay(daemon, exchange, effect).run()
+    relay = Relay(daemon, exchange, effect)
+    result = await relay.run()
     daemon.dispatch(
         PrefillEnded(
             at=daemon.read_now(),
@@ -277,6 +300,7 @@
             draws=daemon.draw(),
             kv_cache=result.kv_cache,
             reason=result.reason,
+            notice=relay.take_notice(),
         )
     )
 
@@ -302,6 +326,7 @@
             prompt_tokens=result.scan.prompt_tokens,
             generated_tokens=result.scan.generated_tokens,
             reason=result.reason,
+            notice=relay.take_notice(),
         )
     )
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/fronts.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/fronts.py
@@ -16,6 +16,7 @@
 import attrs
 
 from geraniumhall_core.effects import ServerAttempt
+from geraniumhall_core.notices import ServerNotice
 from geraniumhall_core.refusals import Refusal
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.requests import CallerRequest, KvCacheRef
@@ -74,6 +75,15 @@
     ) -> ResponseKind:
         """Classify a response by its head."""
 
+    def decode_notice(
+        self, call: ParsedCall, attempt: ServerAttempt, head: ResponseHead, now: float
+    ) -> ServerNotice | None:
+        """Decode what a server states of itself in the head of a response.
+
+        Return None for a head that may belong to another request. `now` is in seconds
+        since the epoch.
+        """
+
     def choose_scanner(self, call: ParsedCall, head: ResponseHead) -> Scanner:
         """Return the scanner for the body of a response."""
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/heads.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/heads.py
@@ -31,6 +31,10 @@
         """Return the first value of a header, or None."""
         return next((value for key, value in self.headers if key == name), None)
 
+    def find_all(self, name: bytes) -> tuple[bytes, ...]:
+        """Return all values of a header, in order."""
+        return tuple(value for key, value in self.headers if key == name)
+
     def select_end_to_end(self) -> tuple[Header, ...]:
         """Return the end-to-end headers: all but the hop-by-hop ones.
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
@@ -16,6 +16,7 @@
 
 from geraniumhall_core.effects import ServerAttempt
 from geraniumhall_core.keys import Credential, parse_key
+from geraniumhall_core.notices import ServerNotice
 from geraniumhall_core.refusals import MALFORMED, METHOD_NOT_ALLOWED, Refusal
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.requests import (
@@ -80,6 +81,12 @@
         is_busy = head.status == STATUS_UNAVAILABLE and attempt.reuse
         return ResponseKind.FAILED if is_busy else ResponseKind.ANSWER
 
+    def decode_notice(
+        self, call: ParsedCall, attempt: ServerAttempt, head: ResponseHead, now: float
+    ) -> ServerNotice | None:
+        """Return None: this protocol has no such statements."""
+        return None
+
     def choose_scanner(self, call: ParsedCall, head: ResponseHead) -> Scanner:
         """Return the scanner that reads the usage and checks the end marker."""
         is_model_call = isinstance(call.request.target, ModelTarget)
