--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
@@ -19,6 +19,7 @@
 import attrs
 
 from geraniumhall_bench.simulation.engines import SimulatedEngines
+from geraniumhall_bench.simulation.notices import SimulatedNotices
 from geraniumhall_bench.simulation.records import (
     DeliveredDuty,
     EventBuilder,
@@ -93,6 +94,7 @@
     order_latency: float = 0.01
     servers: dict[str, SimulatedServer] = attrs.field(factory=dict)
     engines: SimulatedEngines = attrs.field(factory=SimulatedEngines)
+    notices: SimulatedNotices = attrs.field(factory=SimulatedNotices)
     peer_loss: float = 0.0
     relayed_requests: list[RelayedRequest] = attrs.field(factory=list)
     refused_requests: list[RefusedRequest] = attrs.field(factory=list)
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
@@ -35,6 +35,7 @@
     ResponseStarted,
     ServerProbed,
 )
+from geraniumhall_core.notices import ReceivedNotice
 from geraniumhall_core.platform import PlatformAnswer
 from geraniumhall_core.requests import AttemptOutcome
 from geraniumhall_core.verdict import Verdict
@@ -93,6 +94,8 @@
     engines, request = cluster.engines, record.request
     server, attempt_id = effect.server, effect.attempt_id
 
+    notices: list[ReceivedNotice] = []
+
     def end_attempt(outcome: AttemptOutcome, verdict: Verdict) -> None:
         cluster.dispatch(
             daemon,
@@ -106,6 +109,7 @@
                 draws=cluster.draw(),
                 prompt_tokens=PROMPT_TOKENS,
                 generated_tokens=GENERATED_TOKENS,
+                notice=notices[0] if notices else None,
             ),
         )
 
@@ -118,6 +122,7 @@
     def begin_answer() -> None:
         engines.begin(cluster.now, server, request)
         if engines.is_open(server, attempt_id):
+            notice = cluster.notices.build(effect)
             cluster.dispatch(
                 daemon,
                 lambda at: ResponseStarted(
@@ -125,6 +130,7 @@
                     request_id=effect.request_id,
                     attempt_id=attempt_id,
                     wall_time=at,
+                    notice=notice,
                 ),
             )
 
@@ -138,6 +144,8 @@
         return
     if request.parts:
         cluster.call_later(engines.begin_seconds, begin_answer)
+    else:
+        notices.append(cluster.notices.build(effect))
     cluster.call_later(cluster.service_seconds, complete_attempt)
 
 
