Share the limit that a server names among few hosts

Change: what a server states is kept for each of its incarnations, with source and age, and everything that sends a request asks one question (handlers/access): first attempts, retries, prefill, decode, trials, orders and releases of KV caches. It binds also when no other server is left; then the caller is refused at once as servers_restricted, with the time until the next token. A limit falls to the few hosts that rank highest for the server by rendezvous hashing, each with a token bucket; with bursts of one request on each host, nine hosts already break the rule. Hosts learn of limits from each other by datagrams that each host passes on once, and by an exchange with a random host each second. Statements are ordered by a Lamport clock; a limit is lifted or raised only by an answer to a request that was sent after the limit was last confirmed.

--- /dev/null
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
@@ -0,0 +1,148 @@
+"""Whether a backend server takes a request of this host now.
+
+Everything that sends a request asks `is_open` first and `take_request` as it sends:
+first attempts and retries, prefill and decode, trials of held parts, orders, and
+releases of KV caches. Probes open a connection without a request.
+"""
+
+from geraniumhall_core.catalogue import BackendServer
+from geraniumhall_core.notices import Incarnation
+from geraniumhall_core.platform import Feed
+from geraniumhall_core.refusals import SERVERS_RESTRICTED, Refusal
+from geraniumhall_core.requests import RequestRecord
+from geraniumhall_core.restrictions import ServerRestrictions
+from geraniumhall_core.sharing import SHARING_POLICIES, SharingQuery
+from geraniumhall_core.state import DaemonState
+
+MEMBERSHIP_TTL_SECONDS = 0.25
+HANDOVER_MARGIN_SECONDS = 1.0  # for reading records, beyond the interval of writing
+STALE_FRACTION = 0.5  # of the silence after which a host counts as down
+DEFAULT_RETRY_SECONDS = 0.5  # another host may have a share
+MAX_NAMED_SERVERS = 4  # in a reason
+
+
+def is_open(state: DaemonState, name: str, now: float) -> bool:
+    """Return whether this host may send a request to a backend server now."""
+    known = _find_restrictions(state, name)
+    if known is None or known.rate is None:
+        return True
+    bucket = refresh_share(state, name, known, now).bucket
+    return bucket is not None and bucket.seconds_until(1.0) == 0.0
+
+
+def take_request(state: DaemonState, name: str, now: float) -> bool:
+    """Count a request that is sent to a server; return False if that is closed."""
+    if not is_open(state, name, now):
+        return False
+    known = _find_restrictions(state, name)
+    if known is not None and known.rate is not None and known.bucket is not None:
+        return known.bucket.try_spend(1.0, now)
+    return True
+
+
+def describe_closed(
+    state: DaemonState, record: RequestRecord, now: float
+) -> Refusal | None:
+    """Return the refusal of a request whose servers are all closed to this host.
+
+    Return None if a server of its service that it has not tried is open.
+    """
+    names = [
+        name
+        for name in state.catalogue.servers_by_service.get(record.service, ())
+        if name not in record.tried_servers
+    ]
+    closed = [name for name in names if not is_open(state, name, now)]
+    if not closed or len(closed) < len(names):
+        return None
+    waits = [compute_wait(state, name, now) for name in closed]
+    wait = min((w for w in waits if w is not None), default=DEFAULT_RETRY_SECONDS)
+    reasons = [_describe_server(state, name) for name in closed[:MAX_NAMED_SERVERS]]
+    reason = f"no server of {record.service!r} is open to this host: "
+    reason += ", ".join(reasons)
+    if len(closed) > MAX_NAMED_SERVERS:
+        reason += f" and {len(closed) - MAX_NAMED_SERVERS} more"
+    return SERVERS_RESTRICTED.with_reason(reason).with_retry_after(wait)
+
+
+def compute_wait(state: DaemonState, name: str, now: float) -> float | None:
+    """Return the seconds until a server takes a request of this host, None if never."""
+    known = _find_restrictions(state, name)
+    if known is None or known.rate is None:
+        return 0.0
+    bucket = refresh_share(state, name, known, now).bucket
+    if bucket is None:
+        return None
+    wait = bucket.seconds_until(1.0)
+    return None if wait is None else wait + max(0.0, bucket.updated_at - now)
+
+
+def refresh_share(
+    state: DaemonState, name: str, known: ServerRestrictions, now: float
+) -> ServerRestrictions:
+    """Recompute this host's share if the limit or the hosts have changed."""
+    assert known.rate is not None
+    membership = state.restrictions.membership
+    refresh_membership(state, now)
+    settled_at = membership.changed_at + compute_handover_seconds(state)
+    shared_for = (known.rate, membership.hosts, now >= settled_at, state.policy.sharing)
+    if known.shared_for != shared_for:
+        known.shared_for = shared_for
+        query = SharingQuery(
+            server=name, rate=known.rate, host=state.policy.host, hosts=membership.hosts
+        )
+        share = None
+        if state.policy.host in membership.hosts:
+            share = SHARING_POLICIES.find(state.policy.sharing)(query)
+        known.set_share(share, max(now, settled_at), now >= settled_at)
+    if known.bucket is not None:
+        known.bucket.refill(now)
+    return known
+
+
+def refresh_membership(state: DaemonState, now: float) -> None:
+    """Read which hosts share limits.
+
+    A host that does not reach the store keeps the hosts that it knew: it can't tell
+    which of the others still run. One that is being drained gives its shares up once
+    the others may have taken them over.
+    """
+    membership = state.restrictions.membership
+    if now - membership.read_at < MEMBERSHIP_TTL_SECONDS:
+        return
+    age = now - state.feeds[Feed.RECORDS].confirmed_at
+    if membership.hosts and age > state.policy.host_silence * STALE_FRACTION:
+        return
+    hosts = set(state.list_live_hosts(now))
+    requested_at = state.drain.requested_at
+    if requested_at is None or now - requested_at < compute_handover_seconds(state):
+        hosts.add(state.policy.host)
+    membership.update(tuple(sorted(hosts)), now)
+
+
+def compute_handover_seconds(state: DaemonState) -> float:
+    """Return how long a host waits before it uses a share that another one had.
+
+    By then every host that reaches the store has read of the change.
+    """
+    interval = state.policy.publish_interval * state.interval_factor
+    return interval + HANDOVER_MARGIN_SECONDS
+
+
+def identify(name: str, server: BackendServer) -> Incarnation:
+    """Return the incarnation of a listed server."""
+    return Incarnation(name, server.started_at)
+
+
+def _find_restrictions(state: DaemonState, name: str) -> ServerRestrictions | None:
+    server = state.catalogue.servers.get(name)
+    if server is None or not state.restrictions.servers:
+        return None
+    return state.restrictions.servers.get(identify(name, server))
+
+
+def _describe_server(state: DaemonState, name: str) -> str:
+    known = _find_restrictions(state, name)
+    assert known is not None
+    share = known.bucket.share.rate if known.bucket else 0.0
+    return f"{name} takes {known.rate:.3g} requests a second, {share:.3g} of this host"
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -13,6 +13,7 @@
     ReleaseKvCache,
 )
 from geraniumhall_core.events import AttemptEnded, PrefillEnded, ResponseStarted
+from geraniumhall_core.handlers.access import describe_closed, take_request
 from geraniumhall_core.handlers.accounting import (
     charge_workspace,
     count_request,
@@ -53,7 +54,7 @@
     UPSTREAM_FAILED,
     Refusal,
 )
-from geraniumhall_core.requests import AttemptOutcome, Phase, RequestRecord
+from geraniumhall_core.requests import AttemptOutcome, KvCacheRef, Phase, RequestRecord
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -86,7 +87,7 @@
     record = state.requests.get(event.request_id)
     if record is None or record.attempt_id != event.attempt_id:
         if event.kv_cache is not None:
-            yield ReleaseKvCache(kv_cache=event.kv_cache)
+            yield from _release_server_memory(state, event.kv_cache, event.at)
         return
     _release_server(state, record, event.at, event.outcome)
     if event.outcome is AttemptOutcome.COMPLETED:
@@ -119,7 +120,7 @@
         record.began_at = record.sent_at if record.began_at is None else record.began_at
         yield from prove_parts(state, record, event.at)
         count_tokens(state, record, event)
-        yield from _release_kv_cache(record, event.verdict)
+        yield from _release_kv_cache(state, record, event.verdict, event.at)
         end_request(state, record)
         pause = LogField("longest_pause", round(event.longest_pause, 3))
         yield log_progress("request_completed", record, event.at, pause)
@@ -127,13 +128,13 @@
     elif may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
         yield log_attempt_failed("info", record, event.outcome, event.reason)
-        yield from _release_kv_cache(record, event.verdict)
+        yield from _release_kv_cache(state, record, event.verdict, event.at)
         if not record.is_probing:
             yield from _start_attempt(state, record, event.at, event.draws)
     else:
         record.is_probing = False
         count_tokens(state, record, event)
-        yield from _release_kv_cache(record, event.verdict)
+        yield from _release_kv_cache(state, record, event.verdict, event.at)
         yield from _fail_request(state, record, event.outcome, event.reason)
     yield from dispatch_waiting(state, record.entry, event.at, event.draws)
     yield from report_load(state, event.at)
@@ -236,13 +237,12 @@
         return
     placement = find_placement(state, record, now, draws)
     if placement is None:
-        refusal = NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
-        yield from refuse_accepted(state, record, refusal)
+        yield from refuse_accepted(state, record, _explain_lack(state, record, now))
         return
     yield log_placement(state, record, placement, now)
     if placement.is_prefill_only:
         record.phase = Phase.PREFILL
-        _assign_server(state, record, placement)
+        _assign_server(state, record, placement, now)
         yield PrefillPrompt(
             request_id=record.request.request_id,
             attempt_id=record.attempt_id,
@@ -267,14 +267,13 @@
     record.phase = Phase.RUNNING
     part = find_held_part(state, record)
     if part is not None:
-        yield from _release_kv_cache(record, Verdict.NOT_RUN)
+        yield from _release_kv_cache(state, record, Verdict.NOT_RUN, now)
         yield from refuse_accepted(state, record, describe_hold(state, part, now))
         return
     placement = place_decode(state, record, now, draws[1])
     if placement is None:
-        yield from _release_kv_cache(record, Verdict.NOT_RUN)
-        refusal = NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
-        yield from refuse_accepted(state, record, refusal)
+        yield from _release_kv_cache(state, record, Verdict.NOT_RUN, now)
+        yield from refuse_accepted(state, record, _explain_lack(state, record, now))
         return
     yield log_placement(state, record, placement, now)
     yield _send_request(state, record, placement, now)
@@ -283,7 +282,7 @@
 def _send_request(
     state: DaemonState, record: RequestRecord, placement: Placement, now: float
 ) -> RelayRequest:
-    _assign_server(state, record, placement)
+    _assign_server(state, record, placement, now)
     record.sent_at = now
     return RelayRequest(
         request_id=record.request.request_id,
@@ -302,9 +301,15 @@
     )
 
 
+def _explain_lack(state: DaemonState, record: RequestRecord, now: float) -> Refusal:
+    closed = describe_closed(state, record, now)
+    return closed or NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
+
+
 def _assign_server(
-    state: DaemonState, record: RequestRecord, placement: Placement
+    state: DaemonState, record: RequestRecord, placement: Placement, now: float
 ) -> None:
+    take_request(state, placement.server, now)
     record.attempts += 1
     record.server = placement.server
     record.prefill_tokens = placement.prefill_tokens
@@ -353,8 +358,20 @@
     yield from refuse_accepted(state, record, refusal)
 
 
-def _release_kv_cache(record: RequestRecord, verdict: Verdict) -> Iterator[Effect]:
+def _release_kv_cache(
+    state: DaemonState, record: RequestRecord, verdict: Verdict, now: float
+) -> Iterator[Effect]:
     """Free a prompt's KV cache if the last attempt certainly did not use it."""
     kv_cache, record.kv_cache = record.kv_cache, None
     if kv_cache is not None and verdict is Verdict.NOT_RUN:
+        yield from _release_server_memory(state, kv_cache, now)
+
+
+def _release_server_memory(
+    state: DaemonState, kv_cache: KvCacheRef, now: float
+) -> Iterator[Effect]:
+    """Free a KV cache, or let it expire on a server that takes no request now."""
+    if take_request(state, kv_cache.server, now):
         yield ReleaseKvCache(kv_cache=kv_cache)
+    else:
+        state.counters["kv_caches.left"] += 1
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -27,6 +27,10 @@
 from geraniumhall_core.handlers.quarantine import decide_crashes, prove_running
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.reports import expire_reports, report_load
+from geraniumhall_core.handlers.restrictions import (
+    exchange_restrictions,
+    report_restrictions,
+)
 from geraniumhall_core.handlers.scaling import reconcile_scale
 from geraniumhall_core.handlers.usage import advance_usage_sealing
 from geraniumhall_core.handlers.waiting import expire_waiting, refuse_held
@@ -45,6 +49,8 @@
     yield from expire_rounds(state, event.at, event.draws)
     yield from apply_deferred_deletions(state, event.at)
     expire_reports(state, event.at)
+    yield from report_restrictions(state, event.at)
+    yield from exchange_restrictions(state, event.at, event.draws)
     refresh_buckets(state, event.at)
     yield from report_load(state, event.at)
     yield from publish_host_record(state, event.at, event.wall_time)
@@ -138,6 +144,7 @@
             Metric("parts.held", state.quarantine.count_held()),
             Metric("parts.suspected", len(state.quarantine.parts)),
             Metric("servers.known", len(state.catalogue.servers)),
+            Metric("servers.limited", state.restrictions.count_limited()),
             Metric("configuration", configuration.version if configuration else 0),
         ),
     )
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/notices.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/notices.py
@@ -3,43 +3,56 @@
 from collections.abc import Iterator
 
 from geraniumhall_core.effects import LogField, WriteLog
+from geraniumhall_core.handlers.restrictions import adopt_limit, report_restrictions
 from geraniumhall_core.notices import Incarnation, ReceivedNotice
 from geraniumhall_core.reducer import Effect
+from geraniumhall_core.restrictions import LimitStatement
 from geraniumhall_core.state import DaemonState
 
 
 def record_notice(
     state: DaemonState, received: ReceivedNotice | None, now: float
 ) -> Iterator[Effect]:
-    """Record the notice of an answer, and log what it changes.
+    """Adopt what an answer says of its server, and tell other hosts what is new.
 
     A notice of an earlier process of the server is ignored.
     """
     if received is None:
         return
-    source, notice = received.source, received.notice
+    source = received.source
     server = state.catalogue.servers.get(source.server)
     if server is None or server.started_at != source.started_at:
         return
-    for reason in notice.invalid:
+    for reason in received.notice.invalid:
         yield from _report_invalid(state, source, reason)
-    limit = notice.request_limit
-    if limit is None and not notice.is_answer:
+    yield from _record_limit(state, received, now)
+    yield from report_restrictions(state, now)
+
+
+def _record_limit(
+    state: DaemonState, received: ReceivedNotice, now: float
+) -> Iterator[Effect]:
+    """Adopt the limit of an answer, or its absence.
+
+    An answer with an invalid limit, or one that is only a refusal without a limit,
+    confirms and ends nothing.
+    """
+    source, notice = received.source, received.notice
+    rate = notice.request_limit
+    if rate is None and (notice.invalid or not notice.is_answer):
+        return
+    known = state.restrictions.servers.get(source)
+    if known is None and rate is None:
         return
-    if state.request_limits.get(source) != limit:
-        yield WriteLog(
-            level="info",
-            event="server_limit_stated",
-            fields=(
-                LogField("server", source.server),
-                LogField("limit", "none" if limit is None else limit),
-                LogField("sent_before", round(now - received.sent_at, 3)),
-            ),
-        )
-    if limit is None:
-        state.request_limits.pop(source, None)
-    else:
-        state.request_limits[source] = limit
+    known = known or state.restrictions.open_server(source)
+    if known.equals(rate):
+        known.confirm(now)
+    elif known.is_contradicted(rate, received.sent_at):
+        number = known.statement.number + 1 if known.statement else 1
+        host = state.policy.host
+        statement = LimitStatement(source=source, rate=rate, number=number, host=host)
+        known.confirm(now)
+        yield from adopt_limit(state, statement, host, now)
 
 
 def _report_invalid(
@@ -47,7 +60,7 @@
 ) -> Iterator[Effect]:
     """Count an invalid field, and log it once for each server."""
     state.counters["notices.invalid"] += 1
-    if state.invalid_notices.get(source) != reason:
-        state.invalid_notices[source] = reason
+    if state.restrictions.invalid.get(source) != reason:
+        state.restrictions.invalid[source] = reason
         fields = (LogField("server", source.server), LogField("reason", reason))
         yield WriteLog(level="warning", event="notice_invalid", fields=fields)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/orders.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/orders.py
@@ -6,6 +6,7 @@
 
 from geraniumhall_core.effects import CallPlatform, LogField, SendOrder, WriteLog
 from geraniumhall_core.events import OrderAnswered, PlatformAnswered
+from geraniumhall_core.handlers.access import take_request
 from geraniumhall_core.handlers.leases import find_held_term
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.reducer import REDUCER
@@ -26,7 +27,7 @@
     Written,
 )
 from geraniumhall_core.purposes import ReadIntent, RecordOutcome, WriteIntent
-from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
@@ -74,7 +75,7 @@
     elif isinstance(event.answer, ObjectFound):
         found = event.answer.object
         yield from _reconcile_intent(
-            state, purpose.server, desired, term, found.record, found.version
+            state, purpose.server, desired, term, found, event.at
         )
 
 
@@ -92,7 +93,8 @@
     has_authority = _find_server_term(state, purpose.server, event.at) is not None
     if isinstance(event.answer, Written) and has_authority:
         version = event.answer.version
-        yield from _send_intent(state, purpose.server, purpose.intent, version)
+        intent = purpose.intent
+        yield from _send_intent(state, purpose.server, intent, version, event.at)
 
 
 @REDUCER.handles(OrderAnswered)
@@ -140,9 +142,10 @@
     server: str,
     desired: DesiredRole,
     term: int,
-    intent: OrderIntent,
-    version: int,
+    found: VersionedRecord,
+    now: float,
 ) -> Iterator[Effect]:
+    intent, version = found.record, found.version
     is_wanted = intent.role is desired.role
     if is_wanted and intent.status is IntentStatus.DONE:
         return
@@ -150,7 +153,7 @@
     if may_replace(intent, checks_fencing):
         yield from _start_order(state, server, desired, term, intent, version)
     elif is_wanted:
-        yield from _send_intent(state, server, intent, version)
+        yield from _send_intent(state, server, intent, version, now)
     else:
         fields = (LogField("server", server), LogField("role", desired.role.value))
         yield WriteLog(level="warning", event="order_blocked", fields=fields)
@@ -176,10 +179,11 @@
 
 
 def _send_intent(
-    state: DaemonState, server: str, intent: OrderIntent, version: int
+    state: DaemonState, server: str, intent: OrderIntent, version: int, now: float
 ) -> Iterator[Effect]:
+    """Send an order; one to a server that takes no request now is sent later."""
     record = state.catalogue.servers.get(server)
-    if record is None:
+    if record is None or not take_request(state, server, now):
         return
     state.orders[server].is_sending = True
     yield SendOrder(
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -6,6 +6,7 @@
 from xxhash import xxh64_intdigest
 
 from geraniumhall_core.catalogue import BackendServer, EngineProfile
+from geraniumhall_core.handlers.access import is_open
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.planning import (
     PLANNING_POLICIES,
@@ -61,28 +62,31 @@
 
 
 def has_alternative(state: DaemonState, record: RequestRecord, now: float) -> bool:
-    """Return whether an untried server with free connections is left.
+    """Return whether an untried server that is open to this host is left.
 
     Engines in the prefill role do not count, because they don't decode.
     """
     servers = state.catalogue.servers
-    names = _list_untried(state, record)
+    names = _list_open(state, record, now)
     return any(servers[name].role is not ServerRole.PREFILL for name in names)
 
 
 def _list_usable(state: DaemonState, record: RequestRecord, now: float) -> list[str]:
     """Return the candidate servers, suspended ones only if there are no others."""
-    untried = _list_untried(state, record)
-    usable = [name for name in untried if state.get_load(name).is_usable(now)]
-    return usable or untried
+    candidates = _list_open(state, record, now)
+    usable = [name for name in candidates if state.get_load(name).is_usable(now)]
+    return usable or candidates
 
 
-def _list_untried(state: DaemonState, record: RequestRecord) -> list[str]:
+def _list_open(state: DaemonState, record: RequestRecord, now: float) -> list[str]:
+    """Return the untried servers with free connections that are open to this host."""
     names = state.catalogue.servers_by_service.get(record.service, ())
     return [
         n
         for n in names
-        if n not in record.tried_servers and state.has_connection_capacity(n)
+        if n not in record.tried_servers
+        and state.has_connection_capacity(n)
+        and is_open(state, n, now)
     ]
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peers.py
@@ -6,5 +6,6 @@
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.parts import PartReport
 from geraniumhall_core.reports import LoadReport
+from geraniumhall_core.restrictions import RestrictionReport
 
-PeerMessage = LoadReport | LoanRequest | Loan | PartReport
+PeerMessage = LoadReport | LoanRequest | Loan | PartReport | RestrictionReport
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -24,6 +24,7 @@
     routing: str = "prefix_affinity"
     planning: str = "earliest_answer"
     scaling: str = "none"
+    sharing: str = "few_hosts"
     holding: str = "repeated_crash"
     first_hold: float = 15.0
     engine_read_rate: float = 80_000.0
--- a/packages/geraniumhall-core/src/geraniumhall_core/refusals.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/refusals.py
@@ -52,6 +52,9 @@
 DEADLINE_EXCEEDED = Refusal("deadline_exceeded", "the deadline passed")
 DRAINING = Refusal("draining", "the host is being drained")
 NO_SERVER = Refusal("no_backend_server", "no backend server can take the request")
+SERVERS_RESTRICTED = Refusal(
+    "servers_restricted", "the backend servers take no request of this host now"
+)
 PART_HELD = Refusal("part_held", "requests with a part of this prompt crash servers")
 UPSTREAM_FAILED = Refusal(
     "upstream_failed",
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -11,7 +11,6 @@
 from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
 from geraniumhall_core.loans import BorrowingState
-from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.orders import OrderState
 from geraniumhall_core.parts import CrashId
 from geraniumhall_core.platform import Feed
@@ -21,6 +20,7 @@
 from geraniumhall_core.records import VersionedRecord
 from geraniumhall_core.reports import ReportingState, ReportsView
 from geraniumhall_core.requests import RequestRecord
+from geraniumhall_core.restrictions import RestrictionsView
 from geraniumhall_core.retries import RetryBudget
 from geraniumhall_core.scaling import ScaleRequest
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork, ServerLoad
@@ -190,8 +190,7 @@
     requests: dict[str, RequestRecord] = attrs.field(factory=dict)
     queues: dict[str, EntryQueue] = attrs.field(factory=dict)
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
-    request_limits: dict[Incarnation, float] = attrs.field(factory=dict)
-    invalid_notices: dict[Incarnation, str] = attrs.field(factory=dict)
+    restrictions: RestrictionsView = attrs.field(factory=RestrictionsView)
     prefix_caches: PrefixCaches = attrs.field(factory=PrefixCaches)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     breaks: dict[CrashId, list[BrokenRequest]] = attrs.field(factory=dict)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -13,11 +13,17 @@
 from msgpack.exceptions import UnpackException
 
 from geraniumhall_core.loans import Loan, LoanRequest
+from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.parts import PLAIN_NAME, CrashId, PartCrash, PartHold, PartReport
 from geraniumhall_core.peers import PeerMessage
 from geraniumhall_core.prefixes import PartUse, PromptUse
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.reports import LoadReport, ServerWork
+from geraniumhall_core.restrictions import (
+    LimitStatement,
+    ReportedLimit,
+    RestrictionReport,
+)
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
 
 FORMAT_VERSION = 3
@@ -26,6 +32,7 @@
     LoanRequest: "ask",
     Loan: "loan",
     PartReport: "part",
+    RestrictionReport: "limits",
 }
 
 MessageDecoder = Callable[[list[Any]], PeerMessage]
@@ -109,6 +116,29 @@
     )
 
 
+@MESSAGE_DECODERS.register("limits")
+def decode_restriction_report(fields: list[Any]) -> RestrictionReport:
+    """Decode a report on the restrictions of servers."""
+    host, limits, address = fields
+    return RestrictionReport(
+        host=str(host),
+        limits=tuple(_decode_limit(*limit) for limit in limits),
+        address=str(address),
+    )
+
+
+def _decode_limit(statement: Any, age: Any) -> ReportedLimit:
+    source, rate, number, host = statement
+    server, started_at = source
+    decoded = LimitStatement(
+        source=Incarnation(str(server), int(started_at)),
+        rate=None if rate is None else _parse_amount(rate),
+        number=int(number),
+        host=str(host),
+    )
+    return ReportedLimit(decoded, _parse_amount(age))
+
+
 def _decode_crash(
     server: Any,
     incarnation: Any,
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/refusals.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/refusals.py
@@ -23,6 +23,7 @@
     "no_backend_server": 503,
     "overloaded": 503,
     "part_held": 503,
+    "servers_restricted": 503,
     "deadline_exceeded": 504,
 }
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -18,6 +18,7 @@
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.routing import ROUTING_POLICIES
 from geraniumhall_core.scaling import SCALING_POLICIES
+from geraniumhall_core.sharing import SHARING_POLICIES
 from geraniumhall_wire.converter import (
     FieldViolation,
     InvalidDataError,
@@ -175,7 +176,8 @@
     """Selection of backend servers.
 
     `planning` selects among engines with a prompt cache and `policy` among
-    all other servers; `scaling` decides how many servers are requested.
+    all other servers; `scaling` decides how many servers are requested, and `sharing`
+    which hosts send to a server that limits its requests.
     `engine_read_rate` is the speed of a prefill-only engine in prompt tokens
     per second.
     """
@@ -189,6 +191,9 @@
     scaling: str = attrs.field(
         default="none", validator=_check_registered(SCALING_POLICIES)
     )
+    sharing: str = attrs.field(
+        default="few_hosts", validator=_check_registered(SHARING_POLICIES)
+    )
     engine_read_rate: float = attrs.field(default=80_000.0, validator=validators.gt(0))
 
 
@@ -384,6 +389,7 @@
             routing=self.routing.policy,
             planning=self.routing.planning,
             scaling=self.routing.scaling,
+            sharing=self.routing.sharing,
             engine_read_rate=self.routing.engine_read_rate,
             holding=self.quarantine.policy,
             first_hold=self.quarantine.first_hold,
