Grant tokens of limited servers to hosts without a share

The share of the few hosts that have one is larger than the demand of their own callers.

Change: a request that finds no server open asks one of the hosts with a share for a token, and waits at most 50 ms for it. A token leaves the bucket before it is sent and lapses after 0.5 s, so lost messages lose tokens but create none. After a round without a token no host asks for that service for 0.2 s. Hosts that know of no limit send no messages; a host that has started asks four others for what they know.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
@@ -7,6 +7,7 @@
 
 from geraniumhall_core.catalogue import BackendServer
 from geraniumhall_core.notices import Incarnation
+from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.platform import Feed
 from geraniumhall_core.refusals import SERVERS_RESTRICTED, Refusal
 from geraniumhall_core.requests import RequestRecord
@@ -26,8 +27,7 @@
     known = _find_restrictions(state, name)
     if known is None or known.rate is None:
         return True
-    bucket = refresh_share(state, name, known, now).bucket
-    return bucket is not None and bucket.seconds_until(1.0) == 0.0
+    return refresh_share(state, name, known, now).has_token(now)
 
 
 def take_request(state: DaemonState, name: str, now: float) -> bool:
@@ -35,8 +35,8 @@
     if not is_open(state, name, now):
         return False
     known = _find_restrictions(state, name)
-    if known is not None and known.rate is not None and known.bucket is not None:
-        return known.bucket.try_spend(1.0, now)
+    if known is not None and known.rate is not None:
+        known.take_token(now)
     return True
 
 
@@ -65,6 +65,27 @@
     return SERVERS_RESTRICTED.with_reason(reason).with_retry_after(wait)
 
 
+def list_holders(
+    state: DaemonState, record: RequestRecord, now: float
+) -> dict[str, list[Incarnation]]:
+    """Return the other hosts with shares of limited servers that may take a request.
+
+    Engines in the prefill role are left out, because they don't answer it.
+    """
+    holders: dict[str, list[Incarnation]] = {}
+    for name in state.catalogue.servers_by_service.get(record.service, ()):
+        server = state.catalogue.servers[name]
+        known = _find_restrictions(state, name)
+        if known is None or known.rate is None or name in record.tried_servers:
+            continue
+        if server.role is ServerRole.PREFILL:
+            continue
+        for host in refresh_share(state, name, known, now).holders:
+            if host != state.policy.host:
+                holders.setdefault(host, []).append(identify(name, server))
+    return holders
+
+
 def compute_wait(state: DaemonState, name: str, now: float) -> float | None:
     """Return the seconds until a server takes a request of this host, None if never."""
     known = _find_restrictions(state, name)
@@ -88,12 +109,10 @@
     shared_for = (known.rate, membership.hosts, now >= settled_at, state.policy.sharing)
     if known.shared_for != shared_for:
         known.shared_for = shared_for
-        query = SharingQuery(
-            server=name, rate=known.rate, host=state.policy.host, hosts=membership.hosts
-        )
-        share = None
-        if state.policy.host in membership.hosts:
-            share = SHARING_POLICIES.find(state.policy.sharing)(query)
+        query = SharingQuery(server=name, rate=known.rate, hosts=membership.hosts)
+        shares = SHARING_POLICIES.find(state.policy.sharing)(query)
+        known.holders = tuple(shares)
+        share = shares.get(state.policy.host)
         known.set_share(share, max(now, settled_at), now >= settled_at)
     if known.bucket is not None:
         known.bucket.refill(now)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -102,6 +102,8 @@
         queue = state.get_queue(record.entry)
         queue.remove_waiting(record.workspace, event.request_id)
         refund_cost(state, record)
+    elif record.phase is Phase.ASKING:
+        refund_cost(state, record)
     state.counters["requests.abandoned"] += 1
     end_request(state, record)
     yield CloseExchange(request_id=event.request_id)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -19,6 +19,7 @@
     count_request,
     count_tokens,
 )
+from geraniumhall_core.handlers.asking import ask_for_token
 from geraniumhall_core.handlers.limits import refund_cost
 from geraniumhall_core.handlers.notices import record_notice
 from geraniumhall_core.handlers.placement import (
@@ -51,6 +52,7 @@
 from geraniumhall_core.refusals import (
     DEADLINE_EXCEEDED,
     NO_SERVER,
+    SERVERS_RESTRICTED,
     UPSTREAM_FAILED,
     Refusal,
 )
@@ -176,7 +178,7 @@
 def end_request(state: DaemonState, record: RequestRecord) -> None:
     """Remove a request and free its concurrency slot."""
     del state.requests[record.request.request_id]
-    if record.phase in (Phase.PREFILL, Phase.RUNNING):
+    if record.phase in (Phase.ASKING, Phase.PREFILL, Phase.RUNNING):
         state.get_queue(record.entry).running -= 1
 
 
@@ -195,6 +197,15 @@
     yield from dispatch_waiting(state, record.entry, now, draws)
 
 
+def resume_asking(
+    state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
+) -> Iterator[Effect]:
+    """Start the attempt of a request that has asked other hosts for a token."""
+    yield from _start_attempt(state, record, now, draws)
+    yield from dispatch_waiting(state, record.entry, now, draws)
+    yield from report_load(state, now)
+
+
 def refuse_unpaid(
     state: DaemonState, record: RequestRecord, refusal: Refusal
 ) -> Iterator[Effect]:
@@ -237,7 +248,7 @@
         return
     placement = find_placement(state, record, now, draws)
     if placement is None:
-        yield from refuse_accepted(state, record, _explain_lack(state, record, now))
+        yield from _wait_or_refuse(state, record, now, draws)
         return
     yield log_placement(state, record, placement, now)
     if placement.is_prefill_only:
@@ -301,6 +312,21 @@
     )
 
 
+def _wait_or_refuse(
+    state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
+) -> Iterator[Effect]:
+    """Ask other hosts for a token if all servers are closed here, or refuse."""
+    refusal = _explain_lack(state, record, now)
+    asking = None
+    if refusal.code == SERVERS_RESTRICTED.code:
+        asking = ask_for_token(state, record, now, draws[1])
+    if asking is None:
+        yield from refuse_accepted(state, record, refusal)
+        return
+    record.phase = Phase.ASKING
+    yield asking
+
+
 def _explain_lack(state: DaemonState, record: RequestRecord, now: float) -> Refusal:
     closed = describe_closed(state, record, now)
     return closed or NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -28,6 +28,7 @@
     restore_from_record,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.handlers.restrictions import ask_for_restrictions
 from geraniumhall_core.parts import PART_KIND
 from geraniumhall_core.platform import (
     Changes,
@@ -86,12 +87,15 @@
         # The other hosts may be waiting for this host's counts.
         state.publishing.next_call_at = event.at
         yield _log_feed("info", "feed_recovered", purpose.feed)
+    is_first = purpose.feed is Feed.RECORDS and not feed.has_synced
     if purpose.feed is Feed.RECORDS and not feed.has_synced:
         restore_from_record(state, answer, event.at)
     since = feed.confirmed_at
     feed.confirmed_at = max(feed.confirmed_at, _date_answer(event, purpose))
     feed.revision = max(feed.revision, answer.revision)
     yield from _apply_answer(state, purpose.feed, answer, event.at, since)
+    if is_first:
+        yield from ask_for_restrictions(state, event.at, event.draws[0])
     if not state.has_buckets:
         refresh_buckets(state, event.at)
     yield _request_feed(state, purpose.feed, _choose_pause(state, purpose.feed, event))
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -19,6 +19,7 @@
 )
 from geraniumhall_core.handlers.borrowing import expire_rounds
 from geraniumhall_core.handlers.feeds import apply_deferred_deletions
+from geraniumhall_core.handlers.grants import expire_grant_rounds
 from geraniumhall_core.handlers.leases import maintain_lease, release_lease
 from geraniumhall_core.handlers.limits import refresh_buckets
 from geraniumhall_core.handlers.orders import reconcile_roles
@@ -47,6 +48,7 @@
     yield from refuse_held(state, event.at)
     yield from save_parts(state, event.at)
     yield from expire_rounds(state, event.at, event.draws)
+    yield from expire_grant_rounds(state, event.at, event.draws)
     yield from apply_deferred_deletions(state, event.at)
     expire_reports(state, event.at)
     yield from report_restrictions(state, event.at)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/restrictions.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/restrictions.py
@@ -1,9 +1,9 @@
 """Tells other hosts of the restrictions of backend servers.
 
 What is new goes by datagrams to some hosts, each of which passes it on once. Besides,
-each host exchanges all that it knows with another one from time to time (anti-entropy:
-Demers et al., 1987), so that hosts which have started or missed datagrams learn it too.
-Neither needs the store.
+each host that knows any sends them to a random one every second (anti-entropy: Demers
+et al., 1987), for hosts that missed datagrams, and a host that has started asks some
+others. None of this needs the store.
 """
 
 from collections.abc import Iterator
@@ -22,6 +22,7 @@
 
 MIN_REPORT_INTERVAL_SECONDS = 0.05
 EXCHANGE_SECONDS = 1.0
+HOSTS_ASKED_AT_START = 4
 MAX_REPORTED_SERVERS = 128  # in one datagram
 
 
@@ -69,23 +70,29 @@
 def exchange_restrictions(
     state: DaemonState, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
-    """Send all that is known to one random host, which answers with what it knows.
+    """Send all that is known to one random host.
 
     Of more than fit into a datagram, a random range is sent.
     """
     view = state.restrictions
-    if now < view.next_exchange_at or not state.all_feeds_synced:
+    if now < view.next_exchange_at or not view.servers:
         return
     view.next_exchange_at = now + EXCHANGE_SECONDS
     _forget_restrictions(state, now)
-    live = state.list_live_hosts(now)
-    addresses = [host.record.peer_address for host in live.values()]
-    addresses = sorted(address for address in addresses if address)
-    if not addresses or not state.policy.peer_address:
-        return
-    report = _build_report(state, now, draws[0], state.policy.peer_address)
-    address = addresses[int(draws[1] * len(addresses))]
-    yield SendToPeers(addresses=(address,), message=report)
+    addresses = _choose_hosts(state, now, draws[1], 1)
+    if addresses:
+        report = _build_report(state, now, draws[0])
+        yield SendToPeers(addresses=addresses, message=report)
+
+
+def ask_for_restrictions(
+    state: DaemonState, now: float, draw: float
+) -> Iterator[Effect]:
+    """Ask some hosts for what they know, once this host knows them."""
+    addresses = _choose_hosts(state, now, draw, HOSTS_ASKED_AT_START)
+    if addresses:
+        report = _build_report(state, now, draw, state.policy.peer_address)
+        yield SendToPeers(addresses=addresses, message=report)
 
 
 @PEER_MESSAGE_HANDLERS.register(RestrictionReport)
@@ -106,6 +113,19 @@
         yield SendToPeers(addresses=(message.address,), message=answer)
 
 
+def _choose_hosts(
+    state: DaemonState, now: float, draw: float, count: int
+) -> tuple[str, ...]:
+    """Return the addresses of some random live hosts."""
+    if not state.policy.peer_address:
+        return ()
+    live = state.list_live_hosts(now).values()
+    addresses = sorted(host.record.peer_address for host in live)
+    addresses = [address for address in addresses if address]
+    start = int(draw * len(addresses))
+    return tuple((addresses + addresses)[start : start + min(count, len(addresses))])
+
+
 def _forget_restrictions(state: DaemonState, now: float) -> None:
     """Drop the restrictions of servers that are gone."""
     if state.restrictions.servers:
--- a/packages/geraniumhall-core/src/geraniumhall_core/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peers.py
@@ -6,6 +6,14 @@
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.parts import PartReport
 from geraniumhall_core.reports import LoadReport
-from geraniumhall_core.restrictions import RestrictionReport
+from geraniumhall_core.restrictions import Grant, GrantRequest, RestrictionReport
 
-PeerMessage = LoadReport | LoanRequest | Loan | PartReport | RestrictionReport
+PeerMessage = (
+    LoadReport
+    | LoanRequest
+    | Loan
+    | PartReport
+    | RestrictionReport
+    | GrantRequest
+    | Grant
+)
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -80,6 +80,7 @@
     BORROWING = "borrowing"
     CLAIMING = "claiming"
     QUEUED = "queued"
+    ASKING = "asking"
     PREFILL = "reading"
     RUNNING = "running"
 
@@ -107,7 +108,8 @@
     is pending on the current server, as far as this host knows. `kv_cache` refers
     to the prompt's KV cache between prefill and decode. `sent_at` is when the current
     attempt was sent and `began_at` when its answer began, in seconds on the host's
-    clock. A request that tries a held part has its name as `trial_part`.
+    clock. A request that tries a held part has its name as `trial_part`. One that
+    `has_asked` other hosts for a token does not ask again.
     """
 
     request: CallerRequest
@@ -134,6 +136,7 @@
     is_proven: bool = False
     is_probing: bool = False
     trial_part: str = ""
+    has_asked: bool = False
 
     @property
     def attempt_id(self) -> str:
--- a/packages/geraniumhall-core/src/geraniumhall_core/restrictions.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/restrictions.py
@@ -6,7 +6,9 @@
 of two hosts can't be compared. An answer may have been sent before what the host knows
 already, so it lifts or raises a limit only if its request was sent afterwards.
 
-A limit falls to few hosts, each with a token bucket: see `sharing`.
+A limit falls to few hosts, each with a token bucket: see `sharing`. A host whose
+request finds no server open asks some of them for a token. A token leaves the bucket
+before it is sent, and lapses soon, so a lost message loses tokens but creates none.
 """
 
 import attrs
@@ -59,14 +61,47 @@
     address: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class GrantRequest:
+    """A request for one token of any of the `servers`, in the round `number`."""
+
+    host: str
+    address: str
+    servers: tuple[Incarnation, ...]
+    number: int
+
+
+@attrs.frozen(kw_only=True)
+class Grant:
+    """One token of a server for a round; with `source` None the host has none."""
+
+    host: str
+    source: Incarnation | None
+    number: int
+
+
+@attrs.define
+class GrantRound:
+    """A request that waits for a token, until `ends_at` seconds on the host's clock.
+
+    `service` is that of the request; `awaited_hosts` have not answered yet.
+    """
+
+    request_id: str
+    service: str
+    ends_at: float
+    awaited_hosts: set[str]
+
+
 @attrs.define
 class ServerRestrictions:
     """The restrictions of one incarnation of a server.
 
     `statement` is the newest known one. It was adopted at `learned_at` from the host
     `learned_from`, and an answer confirmed it at `confirmed_at`. `bucket` holds this
-    host's share of the limit, None if it has no share, as computed for `shared_for`.
-    All times are in seconds on the host's clock.
+    host's share of the limit, None if it has no share, and `holders` are the hosts
+    that have one, as computed for `shared_for`. `grants` holds until when tokens of
+    other hosts may be used. All times are in seconds on the host's clock.
     """
 
     statement: LimitStatement | None = None
@@ -74,6 +109,8 @@
     learned_from: str = ""
     confirmed_at: float = float("-inf")
     bucket: TokenBucket | None = None
+    holders: tuple[str, ...] = ()
+    grants: list[float] = attrs.field(factory=list)
     shared_for: tuple[object, ...] = ()
 
     @property
@@ -111,6 +148,20 @@
         is_lower = self.rate is None or (rate is not None and rate < self.rate)
         return is_lower or sent_at > max(self.learned_at, self.confirmed_at)
 
+    def has_token(self, now: float) -> bool:
+        """Return whether this host may send a request under the limit."""
+        self.grants = [until for until in self.grants if until > now]
+        if self.grants:
+            return True
+        return self.bucket is not None and self.bucket.seconds_until(1.0) == 0.0
+
+    def take_token(self, now: float) -> None:
+        """Use a token, of those that lapse first."""
+        if self.has_token(now) and self.grants:
+            self.grants.remove(min(self.grants))
+        elif self.bucket is not None:
+            self.bucket.try_spend(1.0, now)
+
     def set_share(self, share: Share | None, start: float, is_settled: bool) -> None:
         """Change this host's share of the limit; a new one begins empty at `start`.
 
@@ -151,7 +202,8 @@
 
     `unreported` holds the servers of which other hosts may not know the newest
     statement. Reports were last sent at `reported_at`; the next exchange with another
-    host is due at `next_exchange_at`.
+    host is due at `next_exchange_at`. `rounds` holds the requests that wait for a token
+    by number; no round is started for a service before its time in `backoff_until`.
     """
 
     servers: dict[Incarnation, ServerRestrictions] = attrs.field(factory=dict)
@@ -160,6 +212,9 @@
     unreported: dict[Incarnation, None] = attrs.field(factory=dict)
     reported_at: float = float("-inf")
     next_exchange_at: float = float("-inf")
+    rounds: dict[int, GrantRound] = attrs.field(factory=dict)
+    round_number: int = 0
+    backoff_until: dict[str, float] = attrs.field(factory=dict)
 
     def open_server(self, source: Incarnation) -> ServerRestrictions:
         """Return a server's restrictions, created on first use."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/sharing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/sharing.py
@@ -1,12 +1,11 @@
 """Sharing policies: which hosts may use how much of a server's request limit.
 
 Each policy is a function registered under the name used in settings. It gets a limit
-and the hosts that share it, and returns the share of one of them, or None if that host
-gets no share::
+and the hosts that share it, and returns the shares of those that get one::
 
     @SHARING_POLICIES.register("first_host")
     def give_first(query):
-        return Share(query.rate, 1.0) if query.host == min(query.hosts) else None
+        return {min(query.hosts): Share(query.rate, 1.0)}
 
 The users' rule allows 1.5 times the limit and 5 requests in any 4 s, over all hosts.
 With a burst of one request for each of n hosts, n requests come on top of the limit, so
@@ -32,16 +31,15 @@
 
     server: str
     rate: float
-    host: str
     hosts: tuple[str, ...]
 
 
-SharingPolicy = Callable[[SharingQuery], Share | None]
+SharingPolicy = Callable[[SharingQuery], dict[str, Share]]
 SHARING_POLICIES: Registry[str, SharingPolicy] = Registry("sharing policy")
 
 
 @SHARING_POLICIES.register("few_hosts")
-def share_among_few(query: SharingQuery) -> Share | None:
+def share_among_few(query: SharingQuery) -> dict[str, Share]:
     """Give equal shares to the hosts that rank highest for the server.
 
     Hosts are ranked by rendezvous hashing (Thaler and Ravishankar, 1998), so that those
@@ -52,16 +50,15 @@
     rate = max(MIN_RATE, query.rate)
     burst = rate + SURPLUS_REQUESTS
     count = min(len(query.hosts), int(burst / MIN_BURST))
-    if query.host not in rank_hosts(query.server, query.hosts)[:count]:
-        return None
-    return Share(rate / count, burst / count)
+    ranked = rank_hosts(query.server, query.hosts)
+    return dict.fromkeys(ranked[:count], Share(rate / count, burst / count))
 
 
 @SHARING_POLICIES.register("equal_shares")
-def share_equally(query: SharingQuery) -> Share | None:
+def share_equally(query: SharingQuery) -> dict[str, Share]:
     """Give each host an equal share: the baseline."""
-    rate = max(MIN_RATE, query.rate)
-    return Share(rate / len(query.hosts), max(1.0, rate / len(query.hosts)))
+    rate = max(MIN_RATE, query.rate) / len(query.hosts)
+    return dict.fromkeys(query.hosts, Share(rate, max(1.0, rate)))
 
 
 def rank_hosts(server: str, hosts: tuple[str, ...]) -> list[str]:
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -20,6 +20,8 @@
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_core.restrictions import (
+    Grant,
+    GrantRequest,
     LimitStatement,
     ReportedLimit,
     RestrictionReport,
@@ -33,6 +35,8 @@
     Loan: "loan",
     PartReport: "part",
     RestrictionReport: "limits",
+    GrantRequest: "ask_token",
+    Grant: "token",
 }
 
 MessageDecoder = Callable[[list[Any]], PeerMessage]
@@ -127,11 +131,34 @@
     )
 
 
+@MESSAGE_DECODERS.register("ask_token")
+def decode_grant_request(fields: list[Any]) -> GrantRequest:
+    """Decode a request for a token of a limited server."""
+    host, address, servers, number = fields
+    return GrantRequest(
+        host=str(host),
+        address=str(address),
+        servers=tuple(_decode_incarnation(*server) for server in servers),
+        number=int(number),
+    )
+
+
+@MESSAGE_DECODERS.register("token")
+def decode_grant(fields: list[Any]) -> Grant:
+    """Decode a token of a limited server, or that there is none."""
+    host, source, number = fields
+    granted = None if source is None else _decode_incarnation(*source)
+    return Grant(host=str(host), source=granted, number=int(number))
+
+
+def _decode_incarnation(server: Any, started_at: Any) -> Incarnation:
+    return Incarnation(str(server), int(started_at))
+
+
 def _decode_limit(statement: Any, age: Any) -> ReportedLimit:
     source, rate, number, host = statement
-    server, started_at = source
     decoded = LimitStatement(
-        source=Incarnation(str(server), int(started_at)),
+        source=_decode_incarnation(*source),
         rate=None if rate is None else _parse_amount(rate),
         number=int(number),
         host=str(host),
--- a/packages/geraniumhall-wire/tests/test_peers.py
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -6,10 +6,18 @@
 from hypothesis import strategies as st
 
 from geraniumhall_core.loans import Loan, LoanRequest
+from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.parts import CrashId, PartCrash, PartHold, PartReport
 from geraniumhall_core.peers import PeerMessage
 from geraniumhall_core.prefixes import PartUse, PromptUse
 from geraniumhall_core.reports import LoadReport, ServerWork
+from geraniumhall_core.restrictions import (
+    Grant,
+    GrantRequest,
+    LimitStatement,
+    ReportedLimit,
+    RestrictionReport,
+)
 from geraniumhall_wire.converter import InvalidDataError
 from geraniumhall_wire.peers import (
     MESSAGE_NAMES,
@@ -40,6 +48,30 @@
         released=1,
     ),
     PartReport(host="h1", part="p-1", hold=PartHold()),
+    RestrictionReport(
+        host="h1",
+        limits=(
+            ReportedLimit(
+                LimitStatement(
+                    source=Incarnation("e1", 7 << 40), rate=2.5, number=3, host="h2"
+                ),
+                0.25,
+            ),
+            ReportedLimit(
+                LimitStatement(
+                    source=Incarnation("e2", 1), rate=None, number=1, host="h1"
+                ),
+                1.0,
+            ),
+        ),
+        address="10.0.0.1:7",
+    ),
+    RestrictionReport(host="h1"),
+    GrantRequest(
+        host="h1", address="10.0.0.1:7", servers=(Incarnation("e1", 7),), number=2
+    ),
+    Grant(host="h2", source=Incarnation("e1", 7), number=2),
+    Grant(host="h2", source=None, number=2),
 )
 
 
