Keep good entries in force beside an odd one of another writer

It can happen here: a deep entry raised RecursionError, one with a number of thousands of digits made the whole listing unreadable, an infinite size of an engine raised OverflowError in the translation, and a port out of range was adopted and raised OverflowError when a host connected to it. All but the second end the process, as nothing catches them. The same holds for the address in a host's record, and for a datagram with an infinite number.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/peers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/peers.py
@@ -48,6 +48,6 @@
     for address in effect.addresses:
         try:
             await daemon.peers_socket.sendto(data, split_address(address))
-        except OSError as error:
+        except (OSError, ValueError) as error:
             fields = {"address": address, "reason": str(error)}
             write_log("debug", "peer_message_not_sent", fields)
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -25,7 +25,7 @@
 MAX_INFORMATIONAL_HEADS = 16  # before the final response
 MAX_REFUSED = 64  # refused exchanges on one connection
 BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE"})
-KEEP_ALIVE_PATTERN = compile_pattern(rb"timeout=(\d+)")
+KEEP_ALIVE_PATTERN = compile_pattern(rb"timeout=(\d{1,9})(?!\d)")
 KEEP_ALIVE_FRACTION = 0.7  # of the server's keep-alive timeout
 
 Connector = Callable[[str], Awaitable[trio.abc.Stream]]
@@ -53,7 +53,10 @@
     The host is an IP address, so no name is resolved and there is only one
     address to try. Raises `ConnectFailedError`.
     """
-    host, port = split_address(address)
+    try:
+        host, port = split_address(address)
+    except ValueError as error:
+        raise ConnectFailedError(f"{address!r}: {error}") from error
     family = AF_INET6 if ":" in host else AF_INET
     tcp_socket = trio.socket.socket(family)
     enable_tcp_keepalive(tcp_socket)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/converter.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/converter.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from math import isfinite
 from types import GenericAlias
 from typing import Any, TypeVar, get_args, get_origin
 
@@ -16,6 +17,10 @@
 
 T = TypeVar("T")
 
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**63 - 1
+MAX_SHOWN = 200  # characters of a value in an error
+
 
 @attrs.frozen
 class FieldViolation:
@@ -45,6 +50,7 @@
 def build_converter(ignores_unknown_fields: bool = False) -> Converter:
     """Return a converter that coerces no types, except int to float.
 
+    Numbers are finite, and integers have at most 64 bits, as on the wire between hosts.
     Unknown fields are an error unless `ignores_unknown_fields` is set.
     """
     converter = Converter(forbid_extra_keys=not ignores_unknown_fields)
@@ -65,17 +71,27 @@
         raise InvalidDataError(_collect_violations(error)) from error
 
 
-def _structure_primitive(value: Any, target_type: type) -> Any:
+def _structure_primitive(value: Any, target_type: Any) -> Any:
     allowed: tuple[type, ...] = (int, float) if target_type is float else (target_type,)
     is_misplaced_bool = isinstance(value, bool) and target_type is not bool
     if not isinstance(value, allowed) or is_misplaced_bool:
-        raise WrongTypeError(f"expected {target_type.__name__}, got {value!r}")
-    return target_type(value)
+        raise WrongTypeError(f"expected {target_type.__name__}, got {_shorten(value)}")
+    converted: Any = target_type(value)
+    if target_type is int and not MIN_INTEGER <= converted <= MAX_INTEGER:
+        raise WrongTypeError("expected an integer of at most 64 bits")
+    if target_type is float and not isfinite(converted):
+        raise WrongTypeError(f"expected a finite number, got {converted!r}")
+    return converted
+
+
+def _shorten(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}..."
 
 
 def _structure_tuple(converter: Converter, value: Any, target_type: Any) -> tuple:
     if not isinstance(value, list | tuple):
-        raise WrongTypeError(f"expected a list, got {value!r}")
+        raise WrongTypeError(f"expected a list, got {_shorten(value)}")
     list_type: Any = GenericAlias(list, get_args(target_type)[:1])
     return tuple(converter.structure(list(value), list_type))
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -39,6 +39,15 @@
     Grant: "token",
 }
 
+DECODING_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    UnpackException,
+)
+
 MessageDecoder = Callable[[list[Any]], PeerMessage]
 MESSAGE_DECODERS: Registry[str, MessageDecoder] = Registry("peer message decoder")
 
@@ -57,7 +66,7 @@
         if version != FORMAT_VERSION:
             raise ValueError(f"format version {version!r}, expected {FORMAT_VERSION}")
         return MESSAGE_DECODERS.find(name)(fields)
-    except (ValueError, TypeError, LookupError, UnpackException) as error:
+    except DECODING_ERRORS as error:
         raise InvalidDataError(
             (FieldViolation("$", f"invalid peer message: {error}"),)
         ) from error
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/scanners.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/scanners.py
@@ -149,5 +149,5 @@
         data: Any = loads(text)
         usage = data["usage"]
         return int(usage["prompt_tokens"]), int(usage["completion_tokens"])
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError):
         return None
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -27,6 +27,7 @@
 )
 from geraniumhall_wire.units import Address, ByteCount, Seconds, register_units
 
+MAX_PORT = 65535
 STALE_AFTER_FRACTION = 0.9  # of the revocation bound
 UNREADY_AFTER_FRACTION = 0.5  # of the revocation bound
 RETRY_BUDGET_FRACTION = 0.6  # of the ratio and slack of retries
@@ -351,7 +352,7 @@
             settings = structure(CONVERTER, data, cls)
             settings.decode_seed()
             return settings
-        except yaml.YAMLError as error:
+        except (yaml.YAMLError, RecursionError) as error:
             violation = FieldViolation("$", f"not YAML: {error}")
             raise SettingsError(file, (violation,)) from error
         except InvalidDataError as error:
@@ -420,10 +421,14 @@
     """Split an address such as ``127.0.0.1:80`` into host and port.
 
     Raises `ValueError` if the host is not an IP address or the port not a
-    number.
+    number up to `MAX_PORT`.
     """
     host, _, port = address.rpartition(":")
     ip_address(host)
+    if not port.isascii() or not port.isdigit() or len(port) > len(str(MAX_PORT)):
+        raise ValueError(f"{port[:20]!r} is not a port")
+    if int(port) > MAX_PORT:
+        raise ValueError(f"the port {port} is over {MAX_PORT}")
     return host, int(port)
 
 
