Leave places on limited servers to the largest prompts

Of 21 servers 13 were limited; four decode engines got 10 to 16 requests a second each, so requests ran into their deadline.

Cause: a limit counts requests, whatever their size, and requests took the places as they came. Change: while other servers are open, a place is for a prompt that is not below the mean of its service, and for others if the token would lapse; a registry of policies, with first_come as the baseline.

Ruled out: using the tolerance of the rule beyond the limit, since a server in need says what it takes.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
@@ -8,6 +8,7 @@
 from geraniumhall_core.catalogue import BackendServer
 from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.orders import ServerRole
+from geraniumhall_core.places import PLACE_POLICIES, PlaceQuery
 from geraniumhall_core.platform import Feed
 from geraniumhall_core.refusals import SERVERS_RESTRICTED, Refusal
 from geraniumhall_core.requests import RequestRecord
@@ -30,6 +31,23 @@
     return refresh_share(state, name, known, now).has_token(now)
 
 
+def is_place_for(
+    state: DaemonState, name: str, record: RequestRecord, now: float
+) -> bool:
+    """Return whether a request may use an open server while others are open too."""
+    known = _find_restrictions(state, name)
+    if known is None or known.rate is None or known.bucket is None or known.grants:
+        return True
+    view = state.restrictions
+    query = PlaceQuery(
+        prompt_tokens=record.request.prompt_tokens,
+        mean_prompt_tokens=view.mean_prompt_tokens.get(record.service, 0.0),
+        tokens=known.bucket.tokens,
+        burst=known.bucket.share.burst,
+    )
+    return PLACE_POLICIES.find(state.policy.places)(query)
+
+
 def take_request(state: DaemonState, name: str, now: float) -> bool:
     """Count a request that is sent to a server; return False if that is closed."""
     if not is_open(state, name, now):
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -149,6 +149,7 @@
     record.phase = Phase.QUEUED
     state.get_retry_budget(record.service).earn()
     queue = state.get_queue(record.entry)
+    state.restrictions.record_prompt(record.service, record.request.prompt_tokens)
     queue.add_waiting(record.workspace, record.request.request_id)
     yield from dispatch_waiting(state, record.entry, now, draws)
     yield from report_load(state, now)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -6,7 +6,7 @@
 from xxhash import xxh64_intdigest
 
 from geraniumhall_core.catalogue import BackendServer, EngineProfile
-from geraniumhall_core.handlers.access import is_open
+from geraniumhall_core.handlers.access import is_open, is_place_for
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.planning import (
     PLANNING_POLICIES,
@@ -72,10 +72,18 @@
 
 
 def _list_usable(state: DaemonState, record: RequestRecord, now: float) -> list[str]:
-    """Return the candidate servers, suspended ones only if there are no others."""
+    """Return the candidate servers, suspended ones only if there are no others.
+
+    Places on limited servers are left to the requests that gain most by them, unless
+    no other server can answer this one.
+    """
     candidates = _list_open(state, record, now)
     usable = [name for name in candidates if state.get_load(name).is_usable(now)]
-    return usable or candidates
+    usable = usable or candidates
+    places = [name for name in usable if is_place_for(state, name, record, now)]
+    servers = state.catalogue.servers
+    can_answer = any(servers[name].role is not ServerRole.PREFILL for name in places)
+    return places if can_answer else usable
 
 
 def _list_open(state: DaemonState, record: RequestRecord, now: float) -> list[str]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -25,6 +25,7 @@
     planning: str = "earliest_answer"
     scaling: str = "none"
     sharing: str = "few_hosts"
+    places: str = "largest_first"
     holding: str = "repeated_crash"
     first_hold: float = 15.0
     engine_read_rate: float = 80_000.0
--- a/packages/geraniumhall-core/src/geraniumhall_core/restrictions.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/restrictions.py
@@ -15,6 +15,7 @@
 
 from geraniumhall_core.limits import Share, TokenBucket
 from geraniumhall_core.notices import Incarnation
+from geraniumhall_core.places import MEAN_WEIGHT
 
 EQUAL_FRACTION = 0.05  # limits that differ by less count as equal
 MAX_SERVERS = 8192
@@ -204,6 +205,7 @@
     statement. Reports were last sent at `reported_at`; the next exchange with another
     host is due at `next_exchange_at`. `rounds` holds the requests that wait for a token
     by number; no round is started for a service before its time in `backoff_until`.
+    `mean_prompt_tokens` is that of recent requests, by service.
     """
 
     servers: dict[Incarnation, ServerRestrictions] = attrs.field(factory=dict)
@@ -215,6 +217,12 @@
     rounds: dict[int, GrantRound] = attrs.field(factory=dict)
     round_number: int = 0
     backoff_until: dict[str, float] = attrs.field(factory=dict)
+    mean_prompt_tokens: dict[str, float] = attrs.field(factory=dict)
+
+    def record_prompt(self, service: str, tokens: int) -> None:
+        """Add a request to the mean of its service."""
+        mean = self.mean_prompt_tokens.get(service, float(tokens))
+        self.mean_prompt_tokens[service] = mean + MEAN_WEIGHT * (tokens - mean)
 
     def open_server(self, source: Incarnation) -> ServerRestrictions:
         """Return a server's restrictions, created on first use."""
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -12,6 +12,7 @@
 from geraniumhall_core.catalogue import EDITABLE_KINDS
 from geraniumhall_core.holding import HOLD_POLICIES
 from geraniumhall_core.limits import RateTolerance
+from geraniumhall_core.places import PLACE_POLICIES
 from geraniumhall_core.planning import PLANNING_POLICIES
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.records import RECORD_KINDS, ObjectKey
@@ -178,7 +179,7 @@
 
     `planning` selects among engines with a prompt cache and `policy` among
     all other servers; `scaling` decides how many servers are requested, and `sharing`
-    which hosts send to a server that limits its requests.
+    which hosts send to a server that limits its requests and `places` which requests.
     `engine_read_rate` is the speed of a prefill-only engine in prompt tokens
     per second.
     """
@@ -196,6 +197,9 @@
         default="few_hosts", validator=_check_registered(SHARING_POLICIES)
     )
     engine_read_rate: float = attrs.field(default=80_000.0, validator=validators.gt(0))
+    places: str = attrs.field(
+        default="largest_first", validator=_check_registered(PLACE_POLICIES)
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -393,6 +397,7 @@
             sharing=self.routing.sharing,
             engine_read_rate=self.routing.engine_read_rate,
             holding=self.quarantine.policy,
+            places=self.routing.places,
             first_hold=self.quarantine.first_hold,
             stale_after=bound * STALE_AFTER_FRACTION,
             unready_after=bound * UNREADY_AFTER_FRACTION,
