Answer every request of a stopping host before its grace ends

Here a host stops listening after 0.35 of the grace and then refuses requests on kept connections at once as not run. But what it had taken by then could last to its own deadline, up to 10 s, beyond a grace of 8 s: calls that were running, queued or waiting were cut when the process was killed.

Change: at 0.9 of the grace the host ends what is left. Requests that were not sent are refused as not run, attempts end as if their deadline had passed, which tells whether they may have run, and streams are broken off where the caller can tell. No attempt starts after that.

test_grace has six edges over the daemon's own connections: a call that may not be repeated, one taken shortly before the host stops listening, one that waits in a queue, one late on a kept connection, a stream under way, and the process's end. Five of six failed before; the late one on a kept connection was refused already.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
@@ -19,6 +19,7 @@
     CallPlatform,
     CloseExchange,
     EmitMetrics,
+    EndAttempt,
     EndProcess,
     ProbeServer,
     RefuseRequest,
@@ -210,7 +211,7 @@
 
 
 @SIMULATION_PERFORMERS.performs(
-    AbortResponse, CloseExchange, EmitMetrics, StopListening, WriteDump
+    AbortResponse, CloseExchange, EndAttempt, EmitMetrics, StopListening, WriteDump
 )
 def ignore_effect(context: PerformerContext, effect: Any) -> None:
     """Ignore effects on connections, metrics and dumps, which are not simulated."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -63,6 +63,14 @@
     hides_errors: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class EndAttempt(Effect):
+    """End a request's current attempt as if its deadline had passed."""
+
+    request_id: str
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class ReleaseKvCache(Effect):
     """Free a prompt's KV cache that no server will decode from."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -51,6 +51,7 @@
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import (
     DEADLINE_EXCEEDED,
+    DRAINING,
     NO_SERVER,
     SERVERS_RESTRICTED,
     UPSTREAM_FAILED,
@@ -148,8 +149,8 @@
     """Add an admitted request to its entry's queue and dispatch what can run."""
     record.phase = Phase.QUEUED
     state.get_retry_budget(record.service).earn()
-    queue = state.get_queue(record.entry)
     state.restrictions.record_prompt(record.service, record.request.prompt_tokens)
+    queue = state.get_queue(record.entry)
     queue.add_waiting(record.workspace, record.request.request_id)
     yield from dispatch_waiting(state, record.entry, now, draws)
     yield from report_load(state, now)
@@ -243,6 +244,9 @@
     if record.deadline <= now:
         yield from refuse_accepted(state, record, DEADLINE_EXCEEDED)
         return
+    if state.drain.has_timed_out:
+        yield from refuse_accepted(state, record, DRAINING)
+        return
     part = find_held_part(state, record)
     if part is not None:
         yield from refuse_accepted(state, record, describe_hold(state, part, now))
@@ -381,7 +385,8 @@
     if record.verdict is Verdict.NOT_RUN:
         refusal = NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
     if outcome is AttemptOutcome.TIMED_OUT:
-        refusal = DEADLINE_EXCEEDED
+        is_stopping = state.drain.has_timed_out and record.verdict is Verdict.NOT_RUN
+        refusal = DRAINING if is_stopping else DEADLINE_EXCEEDED
     yield from refuse_accepted(state, record, refusal)
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -34,7 +34,7 @@
 )
 from geraniumhall_core.handlers.scaling import reconcile_scale
 from geraniumhall_core.handlers.usage import advance_usage_sealing
-from geraniumhall_core.handlers.waiting import expire_waiting, refuse_held
+from geraniumhall_core.handlers.waiting import end_requests, expire_waiting, refuse_held
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
@@ -109,6 +109,9 @@
     if not drain.stopped_listening:
         drain.stopped_listening = True
         yield StopListening()
+    if not drain.has_timed_out and now - drain.requested_at >= state.policy.drain_limit:
+        drain.has_timed_out = True
+        yield from end_requests(state)
     is_idle = not state.requests and not state.publishing.is_calling
     if not drain.is_handing_over and is_idle and not state.lease.is_calling:
         drain.is_handing_over = True
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -44,6 +44,7 @@
     reconnect_base: float = 0.1
     reconnect_limit: float = 1.0
     drain_grace: float = 2.0
+    drain_limit: float = 7.0
     lapse_grace: float = 2.0
     min_lapse_outage: float = 2.4
     usage_window: float = 60.0
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -36,12 +36,13 @@
 class DrainState:
     """Progress of a drain; times are in seconds on the host's clock.
 
-    `pending_calls` counts the platform calls in flight that publish the last host
-    record.
+    With `has_timed_out` the requests that were left have been ended. `pending_calls`
+    counts the platform calls in flight that publish the last host record.
     """
 
     requested_at: float | None = None
     stopped_listening: bool = False
+    has_timed_out: bool = False
     is_handing_over: bool = False
     pending_calls: int = 0
     ended: bool = False
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/exchanges.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/exchanges.py
@@ -40,7 +40,8 @@
 class Exchange:
     """A request and its response on a caller's connection.
 
-    With `must_close` the connection closes after the response.
+    With `must_close` the connection closes after the response. `end_attempt` ends the
+    attempt in progress for a reason.
     """
 
     call: ParsedCall
@@ -48,6 +49,7 @@
     is_finished: bool = False
     must_close: bool = False
     is_event_stream: bool = False
+    end_attempt: Callable[[str], None] | None = None
     _effects: deque[Effect] = attrs.field(factory=deque, init=False)
     _effect_queued: trio.Event | None = attrs.field(default=None, init=False)
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -6,6 +6,7 @@
 from geraniumhall_core.effects import (
     AbortResponse,
     CloseExchange,
+    EndAttempt,
     PrefillPrompt,
     RefuseRequest,
     RelayRequest,
@@ -63,7 +64,7 @@
     of the server's response has ended. `deadline`, `next_deadline_update` and
     `last_chunk_at` are on trio's clock; `longest_pause` is the longest time
     between two chunks. All are in seconds. `notice` is what the server stated of
-    itself, until an event has taken it.
+    itself, until an event has taken it. `end_reason` tells why an attempt timed out.
     """
 
     daemon: Daemon
@@ -79,12 +80,23 @@
     last_chunk_at: float = 0.0
     longest_pause: float = 0.0
     notice: ReceivedNotice | None = None
+    end_reason: str = "the deadline was exceeded"
+
+    def end(self, reason: str) -> None:
+        """End the attempt as if its deadline had passed."""
+        self.end_reason = reason
+        self.deadline = trio.current_time()
+        if self.cancel_scope is not None:
+            self.cancel_scope.cancel()
 
     async def run(self) -> AttemptResult:
         """Make the attempt and return its result."""
         self.deadline = trio.current_time() + self.effect.timeout
+        self.exchange.end_attempt = self.end
         self.cancel_scope = self.exchange.connection.cancel_on_disconnect(self.deadline)
         self._extend_deadline()
+        if self.daemon.state.drain.has_timed_out:
+            self.end("the host is stopping")
         try:
             with self.cancel_scope:
                 return await self._attempt()
@@ -95,15 +107,14 @@
         except ClientDisconnectedError as error:
             return self._build_failure(AttemptOutcome.CALLER_LEFT, str(error))
         finally:
+            self.exchange.end_attempt = None
             await self._return_connection()
         if self.exchange.connection.is_disconnected:
             return self._build_failure(
                 AttemptOutcome.CALLER_LEFT, "the caller disconnected"
             )
         if trio.current_time() >= self.deadline:
-            return self._build_failure(
-                AttemptOutcome.TIMED_OUT, "the deadline was exceeded"
-            )
+            return self._build_failure(AttemptOutcome.TIMED_OUT, self.end_reason)
         return self._build_failure(
             AttemptOutcome.BROKEN,
             "the backend server sent nothing within the silence timeout",
@@ -331,6 +342,14 @@
     )
 
 
+@PERFORMERS.performs(EndAttempt)
+def end_attempt(daemon: Daemon, effect: EndAttempt) -> None:
+    """End the attempt in progress; one that has just ended is left alone."""
+    exchange = daemon.exchanges.get(effect.request_id)
+    if exchange is not None and exchange.end_attempt is not None:
+        exchange.end_attempt(effect.reason)
+
+
 @EXCHANGE_PERFORMERS.register(RefuseRequest)
 async def refuse_request(
     daemon: Daemon, exchange: Exchange, effect: RefuseRequest
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -36,6 +36,7 @@
 MIN_LAPSE_HEARTBEATS = 2
 SERVERS_PAUSE_FRACTION = 0.4  # of the drain bound; a call and a request need the rest
 DRAIN_GRACE_FRACTION = 0.35  # of the grace, given to load balancers to notice
+DRAIN_LIMIT_FRACTION = 0.9  # of the grace; answers and the last record need the rest
 
 
 @attrs.frozen
@@ -196,10 +197,10 @@
     sharing: str = attrs.field(
         default="few_hosts", validator=_check_registered(SHARING_POLICIES)
     )
-    engine_read_rate: float = attrs.field(default=80_000.0, validator=validators.gt(0))
     places: str = attrs.field(
         default="largest_first", validator=_check_registered(PLACE_POLICIES)
     )
+    engine_read_rate: float = attrs.field(default=80_000.0, validator=validators.gt(0))
 
 
 @attrs.frozen(kw_only=True)
@@ -265,6 +266,7 @@
     """Draining before the process stops.
 
     `grace` is the time from the start of a drain until the process may be killed.
+    Requests that are not answered shortly before its end are ended then.
     """
 
     grace: Seconds = Seconds(8.0)
@@ -395,9 +397,9 @@
             planning=self.routing.planning,
             scaling=self.routing.scaling,
             sharing=self.routing.sharing,
+            places=self.routing.places,
             engine_read_rate=self.routing.engine_read_rate,
             holding=self.quarantine.policy,
-            places=self.routing.places,
             first_hold=self.quarantine.first_hold,
             stale_after=bound * STALE_AFTER_FRACTION,
             unready_after=bound * UNREADY_AFTER_FRACTION,
@@ -414,6 +416,7 @@
             retry_ratio=self.retries.ratio * RETRY_BUDGET_FRACTION,
             retry_slack=self.retries.slack * RETRY_BUDGET_FRACTION,
             drain_grace=self.drain.grace * DRAIN_GRACE_FRACTION,
+            drain_limit=self.drain.grace * DRAIN_LIMIT_FRACTION,
             usage_window=self.usage.window,
             seal_grace=self.usage.seal_grace,
             lease_ttl=self.leases.ttl,
