End doubt about a limit that no answer confirms, and know the hosts beforehand

A limit whose end no host can tell (messages between hosts are off, or the hosts with a share have no requests) stayed for good on the others: after 30 s without a confirmation they try the server with a small rate. The hosts that share limits were first read when a limit was learned, so every share waited for the handover time; they are read with the records now. A request whose only open servers run prefill asked nobody for a token and was refused as if there were no server.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
@@ -6,6 +6,7 @@
 """
 
 from geraniumhall_core.catalogue import BackendServer
+from geraniumhall_core.limits import Share
 from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.places import PLACE_POLICIES, PlaceQuery
@@ -13,13 +14,14 @@
 from geraniumhall_core.refusals import SERVERS_RESTRICTED, Refusal
 from geraniumhall_core.requests import RequestRecord
 from geraniumhall_core.restrictions import ServerRestrictions
-from geraniumhall_core.sharing import SHARING_POLICIES, SharingQuery
+from geraniumhall_core.sharing import MIN_RATE, SHARING_POLICIES, SharingQuery
 from geraniumhall_core.state import DaemonState
 
 MEMBERSHIP_TTL_SECONDS = 0.25
 HANDOVER_MARGIN_SECONDS = 1.0  # for reading records, beyond the interval of writing
 STALE_FRACTION = 0.5  # of the silence after which a host counts as down
 DEFAULT_RETRY_SECONDS = 0.5  # another host may have a share
+UNCONFIRMED_SECONDS = 30.0
 MAX_NAMED_SERVERS = 4  # in a reason
 
 
@@ -63,12 +65,14 @@
 ) -> Refusal | None:
     """Return the refusal of a request whose servers are all closed to this host.
 
-    Return None if a server of its service that it has not tried is open.
+    Return None if a server that can answer it and that it has not tried is open.
     """
+    servers = state.catalogue.servers
     names = [
         name
         for name in state.catalogue.servers_by_service.get(record.service, ())
         if name not in record.tried_servers
+        and servers[name].role is not ServerRole.PREFILL
     ]
     closed = [name for name in names if not is_open(state, name, now)]
     if not closed or len(closed) < len(names):
@@ -119,19 +123,30 @@
 def refresh_share(
     state: DaemonState, name: str, known: ServerRestrictions, now: float
 ) -> ServerRestrictions:
-    """Recompute this host's share if the limit or the hosts have changed."""
+    """Recompute this host's share if the limit or the hosts have changed.
+
+    If no answer confirms a limit for long, hosts without a share try the server now and
+    then: those with a share may have no requests, or be unable to tell of the end.
+    """
     assert known.rate is not None
     membership = state.restrictions.membership
     refresh_membership(state, now)
     settled_at = membership.changed_at + compute_handover_seconds(state)
-    shared_for = (known.rate, membership.hosts, now >= settled_at, state.policy.sharing)
+    known_at = max(known.learned_at, known.confirmed_at)
+    is_doubtful = now - known_at > UNCONFIRMED_SECONDS
+    is_settled = now >= settled_at
+    policy = state.policy.sharing
+    shared_for = (known.rate, membership.hosts, is_settled, is_doubtful, policy)
     if known.shared_for != shared_for:
         known.shared_for = shared_for
         query = SharingQuery(server=name, rate=known.rate, hosts=membership.hosts)
-        shares = SHARING_POLICIES.find(state.policy.sharing)(query)
+        shares = SHARING_POLICIES.find(policy)(query)
         known.holders = tuple(shares)
         share = shares.get(state.policy.host)
-        known.set_share(share, max(now, settled_at), now >= settled_at)
+        if share is None and is_doubtful:
+            known.bucket = None
+            share = Share(MIN_RATE / max(1, len(membership.hosts)), 1.0)
+        known.set_share(share, max(now, settled_at), is_settled)
     if known.bucket is not None:
         known.bucket.refill(now)
     return known
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -7,6 +7,7 @@
 
 from geraniumhall_core.effects import CallPlatform
 from geraniumhall_core.events import PlatformAnswered
+from geraniumhall_core.handlers.access import refresh_membership
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.hosts import Demand, HostRecord
 from geraniumhall_core.limits import DemandMeter
@@ -142,6 +143,7 @@
         for name in set(state.hosts.known) - listed:
             state.hosts.remove(name)
     state.live_hosts = 1 + len(state.list_live_hosts(now))
+    refresh_membership(state, now)
     state.foreign_demand.valid_until = now
     state.buckets_due_at = now
 
