Inject servers that name limits, leave or ask to wait in the soak

The soak's servers speak the openai protocol, whose front read no such words: it reads x-request-limit, x-server-leaving and the Retry-After of a 503 now, with the decoder of the platform's front, and callers can't send them. Stand-ins log when each call came and which limit its answer named; a check counts the calls of a limited server in any 4 s unless another unplanned fault disturbed a host meanwhile. A server that has said that it leaves is registered as a new process.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/checker.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/checker.py
@@ -53,6 +53,22 @@
     name: str
 
 
+@attrs.frozen(kw_only=True)
+class LimitStarted(Event):
+    """A server begins to name a limit."""
+
+    server: str
+
+
+@attrs.frozen(kw_only=True)
+class LimitEnded(Event):
+    """A server named `limit` requests a second, and got calls at these times."""
+
+    server: str
+    limit: float
+    arrivals: tuple[float, ...]
+
+
 @attrs.frozen(kw_only=True)
 class UsageReported(Event):
     """The platform received a usage report; `counts` is its figures as text."""
@@ -113,13 +129,17 @@
 
     `submissions` maps a submission to the call that got it, and `usage` a
     window to its figures. `settled_at` is the time in seconds from which
-    connections count as recovered from the last unplanned fault.
+    connections count as recovered from the last unplanned fault. `unplanned_faults`
+    counts those that have started, and `limited` holds that count for each server that
+    names a limit, if no other fault was active when it began.
     """
 
     calls: dict[str, ObservedCall] = attrs.field(factory=dict)
     submissions: dict[str, str] = attrs.field(factory=dict)
     usage: dict[int, str] = attrs.field(factory=dict)
     active_unplanned_faults: int = 0
+    unplanned_faults: int = 0
+    limited: dict[str, int] = attrs.field(factory=dict)
     settled_at: float = float("-inf")
 
     def list_unanswered(self) -> list[ObservedCall]:
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/checks.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/checks.py
@@ -10,6 +10,8 @@
     CheckerState,
     FaultEnded,
     FaultStarted,
+    LimitEnded,
+    LimitStarted,
     ObservedCall,
     ReportFinding,
     ServerCalled,
@@ -22,6 +24,8 @@
 # The engine stand-in's answer to a request for MODEL_TOKENS tokens.
 MODEL_TEXT = "".join(f"t{index} " for index in range(MODEL_TOKENS))
 SETTLING_SECONDS = 1.0  # calls sent this soon after a fault count as overlapping it
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_CONTACT_SECONDS = 1.0  # from the first call that gets the limit in its answer
 MIN_SERVED_FRACTION = 0.25  # of the calls sent after the last fault
 STATUS_OK = 200
 
@@ -39,6 +43,7 @@
     """Mark the calls in progress as overlapping an unplanned fault."""
     if not event.is_planned:
         state.active_unplanned_faults += 1
+        state.unplanned_faults += 1
         for call in state.list_unanswered():
             call.overlapped_fault = True
     yield from ()
@@ -102,6 +107,32 @@
         yield ReportFinding(check="usage", reason=reason)
 
 
+@CHECKER.handles(LimitStarted)
+def record_limit(state: CheckerState, event: LimitStarted) -> Iterator[Effect]:
+    """Record whether a limit begins beside no other unplanned fault."""
+    state.limited.pop(event.server, None)
+    if state.active_unplanned_faults <= 1 and event.at >= state.settled_at:
+        state.limited[event.server] = state.unplanned_faults
+    yield from ()
+
+
+@CHECKER.handles(LimitEnded)
+def check_limit(state: CheckerState, event: LimitEnded) -> Iterator[Effect]:
+    """Check the calls of a limited server, if no daemon or link was disturbed."""
+    if state.limited.pop(event.server, None) != state.unplanned_faults:
+        return
+    since = min(event.arrivals, default=0.0) + LIMIT_CONTACT_SECONDS
+    times = [at for at in event.arrivals if at >= since]
+    most = max(
+        (sum(at <= t < at + LIMIT_WINDOW_SECONDS for t in times) for at in times),
+        default=0,
+    )
+    allowed = 1.5 * event.limit * LIMIT_WINDOW_SECONDS + 5
+    if most > allowed:
+        reason = f"{event.server} got {most} calls in a window, {allowed:.0f} allowed"
+        yield ReportFinding(check="limit", reason=reason)
+
+
 @CHECKER.handles(SoakEnded)
 def check_end(state: CheckerState, event: SoakEnded) -> Iterator[Effect]:
     """Check that calls were answered, and that service recovered.
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/faults.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/faults.py
@@ -8,6 +8,7 @@
 import attrs
 import trio
 
+from geraniumhall_bench.soak.checker import LimitStarted
 from geraniumhall_bench.soak.links import LinkState
 from geraniumhall_bench.steps.stand_ins import InjectFaults
 from geraniumhall_core.registry import Registry
@@ -18,6 +19,7 @@
 MIN_FAULT_SECONDS = 0.3
 MAX_FAULT_SECONDS = 4.0
 FAULTS_PER_SECOND = 0.7
+LIMIT_RATE = 2.0  # requests a second
 
 FaultAction = Callable[["Soak", str, float], Awaitable[None]]
 
@@ -159,6 +161,35 @@
     _register_stand_in_fault(server_fault, "server", amount=2, count=6)
 
 
+_register_stand_in_fault("closed", "server", amount=0.5)
+
+
+@_register_fault("server leaving", "server")
+async def leave_server(soak: "Soak", target: str, seconds: float) -> None:
+    """Let a server say that it leaves, then register a new process of it."""
+    await InjectFaults(at=target, faults=({"name": "leaving"},)).run(soak.context)
+    try:
+        await trio.sleep(seconds)
+    finally:
+        with trio.CancelScope(shield=True):
+            await InjectFaults(at=target).run(soak.context)
+    await soak.register_again(target)
+
+
+@_register_fault("server limit", "server")
+async def name_limit(soak: "Soak", target: str, seconds: float) -> None:
+    """Let a server name a limit, and check what it got meanwhile."""
+    soak.dispatch(LimitStarted(at=trio.current_time(), server=target))
+    injection = {"name": "limit", "amount": LIMIT_RATE}
+    await InjectFaults(at=target, faults=(injection,)).run(soak.context)
+    try:
+        await trio.sleep(seconds)
+    finally:
+        with trio.CancelScope(shield=True):
+            await InjectFaults(at=target).run(soak.context)
+    await soak.check_limit(target, LIMIT_RATE)
+
+
 @_register_fault("withdraw key", "platform", is_planned=True)
 async def withdraw_key(soak: "Soak", target: str, seconds: float) -> None:
     """Issue a new key for the callers and withdraw the current one."""
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/soak/run.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/soak/run.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import sys
+from collections import Counter
 from json import loads
 from random import Random
 from re import compile as compile_pattern
@@ -19,6 +20,7 @@
     CheckerState,
     FaultEnded,
     FaultStarted,
+    LimitEnded,
     ReportFinding,
     ServerCalled,
     SoakEnded,
@@ -38,6 +40,7 @@
 WORKSPACE = "audit"
 CALLER_COUNT = 10
 FAULT_FREE_SECONDS = 6.0
+REGISTER_RETRY_SECONDS = 0.2
 RECOVERY_SECONDS = 4.0
 REVOCATION_BOUND_SECONDS = 3.0
 CALL_NAME_PATTERN = compile_pattern(r"c\d+-\d+\.")
@@ -62,7 +65,8 @@
     """The processes and links of one run, and the findings so far.
 
     `keys` holds the callers' keys, the current one last. `withdrawn_at` maps a
-    withdrawn key to the time of its withdrawal in seconds.
+    withdrawn key to the time of its withdrawal in seconds. `server_starts` counts the
+    processes that each server has registered.
     """
 
     context: RunContext
@@ -73,6 +77,7 @@
     findings: list[ReportFinding] = attrs.field(factory=list)
     keys: list[str] = attrs.field(factory=list)
     withdrawn_at: dict[str, float] = attrs.field(factory=dict)
+    server_starts: Counter[str] = attrs.field(factory=Counter)
     is_over: bool = False
     _restarting: set[str] = attrs.field(factory=set, init=False)
 
@@ -227,17 +232,19 @@
         await put("entry", "draft", {**model, "limits": {"deadline": 5}})
         service = {"owner": WORKSPACE, "service_class": "service", "path": "/filings"}
         await put("entry", "filing", {**service, "limits": {"deadline": 5}})
-        entries = {
-            **dict.fromkeys(SERVICES, "filing"),
-            **dict.fromkeys(ENGINES, "draft"),
-        }
-        for name, entry in entries.items():
-            address = self.links[name].address
-            record = {"address": address, "failure_domain": "riga", "entries": [entry]}
-            await put("server", name, record)
+        for name in (*ENGINES, *SERVICES):
+            await put("server", name, self._build_server(name))
         await self._issue_key("key-1", via)
         await trio.sleep(RECOVERY_SECONDS)
 
+    def _build_server(self, name: str) -> dict[str, Any]:
+        return {
+            "address": self.links[name].address,
+            "failure_domain": "riga",
+            "entries": ["filing" if name in SERVICES else "draft"],
+            "started_at": self.server_starts[name],
+        }
+
     async def _issue_key(self, name: str, via: str) -> None:
         await IssueKey(via=via, workspace=WORKSPACE, name=name).run(self.context)
         self.keys.append(self.context.find(name))
@@ -259,6 +266,35 @@
                     )
                 )
 
+    async def register_again(self, server: str) -> None:
+        """Register a server as a new process, as soon as a daemon takes the record."""
+        self.server_starts[server] += 1
+        record = self._build_server(server)
+        while not self.is_over:
+            for via in DAEMONS:
+                if self.find_process(via) is None:
+                    continue
+                version = f"${{server/{server}}}"
+                step = PutRecord(
+                    via=via, kind="server", name=server, record=record, version=version
+                )
+                try:
+                    await step.run(self.context)
+                except (ConnectionError, ExpectationError) as error:
+                    print(f"failed to register {server}: {error}", file=sys.stderr)
+                else:
+                    return
+            await trio.sleep(REGISTER_RETRY_SECONDS)
+
+    async def check_limit(self, server: str, limit: float) -> None:
+        """Check the calls that a server got while it named a limit."""
+        calls = await self._read_log(server)
+        arrivals = tuple(call["at"] for call in calls if call["limit"] == limit)
+        event = LimitEnded(
+            at=trio.current_time(), server=server, limit=limit, arrivals=arrivals
+        )
+        self.dispatch(event)
+
     async def _read_log(self, stand_in: str) -> list[dict[str, Any]]:
         return loads(
             (await control_stand_in(self.context, stand_in, "GET", "log")).body
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/standins/faults.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/standins/faults.py
@@ -3,9 +3,11 @@
 import attrs
 
 from geraniumhall_bench.standins.model import REPLY_FAULTS, Reply
-from geraniumhall_wire.openai_front import ATTEMPT_HEADER
+from geraniumhall_wire.openai_front import ATTEMPT_HEADER, NOTICE_HEADERS
 
 STATUS_UNAVAILABLE = 503
+LIMIT_HEADER = NOTICE_HEADERS.request_limit
+LEAVING_HEADER = NOTICE_HEADERS.is_leaving
 
 
 @REPLY_FAULTS.register("slow")
@@ -50,6 +52,29 @@
     return attrs.evolve(reply, chunks=reply.chunks[:-1])
 
 
+@REPLY_FAULTS.register("limit")
+def name_limit(reply: Reply, amount: float) -> Reply:
+    """Name a limit of `amount` requests a second."""
+    limit = (LIMIT_HEADER, str(amount).encode())
+    return attrs.evolve(reply, headers=(*reply.headers, limit))
+
+
+@REPLY_FAULTS.register("leaving")
+def announce_leaving(reply: Reply, amount: float) -> Reply:
+    """Say that the server is leaving."""
+    return attrs.evolve(reply, headers=(*reply.headers, (LEAVING_HEADER, b"1")))
+
+
+@REPLY_FAULTS.register("closed")
+def ask_to_wait(reply: Reply, amount: float) -> Reply:
+    """Reply with status 503 and ask to wait for `amount` seconds."""
+    wait = (b"retry-after", str(amount).encode())
+    headers = (*reply.headers, wait)
+    return attrs.evolve(
+        reply, status=STATUS_UNAVAILABLE, headers=headers, chunks=(b"{}",)
+    )
+
+
 @REPLY_FAULTS.register("crossed")
 def answer_for_other_attempt(reply: Reply, amount: float) -> Reply:
     """Replace the attempt id that the reply echoes with another one."""
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/standins/model.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/standins/model.py
@@ -86,12 +86,17 @@
 
 @attrs.frozen(kw_only=True)
 class LoggedCall:
-    """A call as it was received."""
+    """A call as it was received, `at` seconds on the stand-in's clock.
+
+    `limit` is the request limit that the answer names, zero if it names none.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: str
+    at: float = 0.0
+    limit: float = 0.0
 
 
 @attrs.define
@@ -132,9 +137,9 @@
         control = CONTROLS.find(event.head.path.removeprefix(CONTROL_PREFIX))
         yield Reply.from_json(event.call_id, 200, control(state, event))
         return
-    if state.is_logging:
-        state.log.append(_log_call(event))
     injections = _match_injections(state, event)
+    if state.is_logging:
+        state.log.append(_log_call(event, injections))
     for reply in BEHAVIOURS.find(state.kind)(state, event):
         yield (
             _apply_injections(reply, injections)
@@ -203,11 +208,14 @@
     return reply
 
 
-def _log_call(event: CallArrived) -> LoggedCall:
+def _log_call(event: CallArrived, injections: list[FaultInjection]) -> LoggedCall:
+    limits = [i.amount for i in injections if i.name == "limit"]
     headers = {k.decode(): v.decode("latin-1") for k, v in event.head.headers}
     return LoggedCall(
         method=event.head.method.decode(),
         target=event.head.target.decode("latin-1"),
         headers=headers,
         body=event.body.decode("latin-1"),
+        at=event.at,
+        limit=min(limits, default=0.0),
     )
--- a/packages/geraniumhall-bench/tests/test_soak.py
+++ b/packages/geraniumhall-bench/tests/test_soak.py
@@ -16,6 +16,8 @@
     CheckerState,
     FaultEnded,
     FaultStarted,
+    LimitEnded,
+    LimitStarted,
     ServerCalled,
     SoakEnded,
     UsageReported,
@@ -62,6 +64,32 @@
     return [finding.check for finding in found]
 
 
+class LimitCheckTest(unittest.TestCase):
+    """A server that names a limit counts the calls that it gets."""
+
+    LIMIT = FaultStarted(at=0.0, target="e1", is_planned=False)
+    STARTED = LimitStarted(at=0.0, server="e1")
+
+    def end(self, calls: int) -> LimitEnded:
+        """Return the end of a limit of two a second with calls after the contact."""
+        arrivals = (0.0, *(1.5 + number / 100 for number in range(calls)))
+        return LimitEnded(at=4.0, server="e1", limit=2.0, arrivals=arrivals)
+
+    def test_calls_within_the_limit(self) -> None:
+        """One and a half times the limit and five more are allowed in four seconds."""
+        self.assertEqual(run_checks(self.LIMIT, self.STARTED, self.end(17)), [])
+
+    def test_calls_beyond_the_limit(self) -> None:
+        """One more is reported."""
+        found = run_checks(self.LIMIT, self.STARTED, self.end(18))
+        self.assertEqual(found, ["limit"])
+
+    def test_other_faults_excuse(self) -> None:
+        """Hosts that are killed, suspended or cut off meanwhile are excused."""
+        found = run_checks(self.LIMIT, self.STARTED, KILL, self.end(18))
+        self.assertEqual(found, [])
+
+
 class CheckTest(unittest.TestCase):
     """Each check reports its own violation and nothing else."""
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/notices.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/notices.py
@@ -3,10 +3,16 @@
 from collections.abc import Sequence
 from datetime import UTC
 from email.utils import parsedate_to_datetime
+from functools import partial
 from math import isfinite
+from typing import Any
 
 import attrs
 
+from geraniumhall_core.notices import ServerNotice
+from geraniumhall_wire.heads import ResponseHead
+
+STATUS_UNAVAILABLE = 503
 MAX_REQUEST_LIMIT = 1e6  # requests a second
 MAX_VALUE_LENGTH = 64  # characters; a longer value is not decoded
 MAX_LOGGED_LENGTH = 40
@@ -22,6 +28,43 @@
         return self.reason
 
 
+@attrs.frozen
+class NoticeHeaders:
+    """The headers in which a protocol's servers state what `ServerNotice` holds."""
+
+    request_limit: bytes
+    is_leaving: bytes
+    retry_after: bytes = b"retry-after"
+
+    @property
+    def names(self) -> frozenset[bytes]:
+        """The names of all headers."""
+        return frozenset(attrs.astuple(self))
+
+    def decode(self, head: ResponseHead, is_answer: bool, now: float) -> ServerNotice:
+        """Decode the notice in a head; `now` is in seconds since the epoch.
+
+        A time to wait counts with status 503 only.
+        """
+        limits = head.find_all(self.request_limit)
+        flags = head.find_all(self.is_leaving)
+        waits = head.find_all(self.retry_after)
+        if head.status != STATUS_UNAVAILABLE:
+            waits = ()
+        fields: dict[str, Any] = {}
+        invalid: list[str] = []
+        for name, decode in (
+            ("request_limit", partial(parse_request_limit, limits)),
+            ("is_leaving", partial(parse_flag, flags)),
+            ("retry_after", partial(parse_retry_after, waits, now)),
+        ):
+            try:
+                fields[name] = decode()
+            except InvalidNoticeError as error:
+                invalid.append(f"{name}: {error}")
+        return ServerNotice(**fields, is_answer=is_answer, invalid=tuple(invalid))
+
+
 def parse_request_limit(values: Sequence[bytes]) -> float | None:
     """Return a limit in requests a second, or None if there is no value.
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
@@ -28,6 +28,7 @@
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
 from geraniumhall_wire.fronts import FRONTS, EncodedRefusal, ParsedCall, ResponseKind
 from geraniumhall_wire.heads import Header, RequestHead, ResponseHead, UpstreamRequest
+from geraniumhall_wire.notices import NoticeHeaders
 from geraniumhall_wire.refusals import encode_refusal, encode_refusal_event, get_status
 from geraniumhall_wire.scanners import Scanner, choose_scanner
 
@@ -38,7 +39,9 @@
 ESTIMATED_BYTES_PER_TOKEN = 4
 PREFIX_BYTES = 1024  # of the prompt, hashed for routing by prefix
 MIN_RETRY_SECONDS = 1
+STATUS_SERVER_ERROR = 500
 STATUS_UNAVAILABLE = 503
+NOTICE_HEADERS = NoticeHeaders(b"x-request-limit", b"x-server-leaving")
 
 CallerRoute = Callable[
     [str, RequestHead, bytes, Credential | None], ParsedCall | Refusal
@@ -84,8 +87,18 @@
     def decode_notice(
         self, call: ParsedCall, attempt: ServerAttempt, head: ResponseHead, now: float
     ) -> ServerNotice | None:
-        """Return None: this protocol has no such statements."""
-        return None
+        """Decode what a server states of itself in the head of a response.
+
+        On a connection that may have been used before, only a response that echoes the
+        attempt's id is surely the server's to this attempt.
+        """
+        if attempt.reuse and head.find(ATTEMPT_HEADER) is None:
+            return None
+        kind = self.classify_response(call, attempt, head)
+        if kind is ResponseKind.FOREIGN:
+            return None
+        is_answer = head.status < STATUS_SERVER_ERROR
+        return NOTICE_HEADERS.decode(head, is_answer, now)
 
     def choose_scanner(self, call: ParsedCall, head: ResponseHead) -> Scanner:
         """Return the scanner that reads the usage and checks the end marker."""
@@ -268,6 +281,6 @@
     headers = tuple(
         item
         for item in head.select_end_to_end()
-        if item[0] not in KEY_HEADERS and item[0] != ATTEMPT_HEADER
+        if item[0] not in KEY_HEADERS | NOTICE_HEADERS.names | {ATTEMPT_HEADER}
     )
     return UpstreamRequest(head.method, head.target, headers, body)
