--- a/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
@@ -133,6 +133,33 @@
     return f"part {line['part']} was released, known from {line['learned_from']}"
 
 
+@EVENT_FORMATTERS.register(
+    "server_limit_learned", "server_limit_changed", "server_limit_ended"
+)
+def format_limit(line: Line) -> str:
+    """Format a server's limit, with the host that saw it."""
+    if line["limit"] == "none":
+        change = "names no limit any more"
+    else:
+        change = f"takes {line['limit']} requests a second of all hosts"
+    return (
+        f"{line['server']} {change}, before: {line['before']}; seen by"
+        f" {line['seen_by']}, known from {line['learned_from']}, {line['age']} s old"
+    )
+
+
+@EVENT_FORMATTERS.register("server_leaving")
+def format_leaving(line: Line) -> str:
+    """Format that a server leaves."""
+    return f"{line['server']} is leaving, known from {line['learned_from']}"
+
+
+@EVENT_FORMATTERS.register("server_closed")
+def format_closed(line: Line) -> str:
+    """Format that a server wants no request of the host for a time."""
+    return f"{line['server']} wants nothing of this host for {line['seconds']} s"
+
+
 @EVENT_FORMATTERS.register("request_placed")
 def format_placed(line: Line) -> str:
     """Format where a request was sent, and the known load of that server."""
@@ -212,7 +239,9 @@
     return f"configuration {version} applied, {servers} servers known"
 
 
-@EVENT_FORMATTERS.register("drain_started", "settings_changed", "listening", "stopped")
+@EVENT_FORMATTERS.register(
+    "drain_started", "drain_timed_out", "settings_changed", "listening", "stopped"
+)
 def format_process(line: Line) -> str:
     """Format an event of the daemon process."""
     return line["event"].replace("_", " ")
--- a/packages/geraniumhall-cli/tests/test_explanations.py
+++ b/packages/geraniumhall-cli/tests/test_explanations.py
@@ -80,6 +80,38 @@
         self.assertIn("servers that ended under it: e1 e2", stories[0])
         self.assertIn("refused, part_held", stories[1])
 
+    def test_refusal_by_what_servers_state_is_explained(self) -> None:
+        """The limit, the leaving and the wish to wait stand before the refusal."""
+        limit = build_line(
+            9.0,
+            "server_limit_learned",
+            server="e1",
+            limit=2.4,
+            before="none",
+            seen_by="h2",
+            learned_from="h3",
+            number=1,
+            age=0.2,
+        )
+        leaving = build_line(9.1, "server_leaving", server="e2", learned_from="h2")
+        closed = build_line(9.2, "server_closed", server="e3", seconds=1.5)
+        refused = build_line(
+            10.0,
+            "request_refused",
+            request="h1-9",
+            caller_id="c9",
+            code="servers_restricted",
+            reason="no server of 's' is open to this host",
+            catalogue_age=0.1,
+        )
+        lines = [refused, limit, leaving, closed]
+        stories = [line.story for line in explain_request(lines, "c9")]
+        self.assertIn("e1 takes 2.4 requests a second", stories[0])
+        self.assertIn("seen by h2, known from h3", stories[0])
+        self.assertIn("e2 is leaving", stories[1])
+        self.assertIn("e3 wants nothing of this host for 1.5 s", stories[2])
+        self.assertIn("refused, servers_restricted", stories[3])
+
     def test_lines_come_in_order(self) -> None:
         """Events are sorted by time, whatever their order in the log."""
         timeline = explain_request([GIVEN_UP, FAILED], "c3f0")
