Decode the usage and demand of host records without the converter

A profile of one real daemon beside the stand-in store and 78 simulated peers (16 workspaces, three windows) gave 0.31 of 0.55 s in 8 s to the converter.

The lines are checked and built directly, as strictly as before. Requests cost more than rest on that site; they were not looked at.

One mutation is replaced: a notice of an earlier process is kept under that process, so believing it does no harm and no test can see it; what carries the promise is that restrictions are kept by incarnation, and that is what the mutation removes now.

--- a/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
@@ -1,9 +1,11 @@
 """Conversion between records and plain data, for the admin API and the store.
 
 Every host reads the records of all others. To keep these small, demands and
-usage lines are encoded as lists, and usage lines without trailing zeros.
+usage lines are encoded as lists, and usage lines without trailing zeros. Most of what
+a host reads are these, so they are decoded without the converter.
 """
 
+from math import isfinite
 from typing import Any
 
 import attrs
@@ -13,6 +15,8 @@
 from geraniumhall_core.registry import UnknownEntryError
 from geraniumhall_core.usage import UsageFigures, UsageLine
 from geraniumhall_wire.converter import (
+    MAX_INTEGER,
+    MIN_INTEGER,
     FieldViolation,
     InvalidDataError,
     WrongTypeError,
@@ -50,25 +54,30 @@
 
 def _decode_usage_line(data: Any) -> UsageLine:
     workspace, *figures = _check_list(data)
-    return UsageLine(
-        _structure_value(workspace, str), UsageFigures(*_structure_values(figures, int))
-    )
+    for figure in figures:
+        if type(figure) is not int or not MIN_INTEGER <= figure <= MAX_INTEGER:
+            raise WrongTypeError(f"expected an integer of 64 bits, got {figure!r}")
+    return UsageLine(_check_text(workspace), UsageFigures(*figures))
 
 
 def _decode_demand(data: Any) -> Demand:
     workspace, *rates = _check_list(data)
-    return Demand(_structure_value(workspace, str), *_structure_values(rates, float))
+    return Demand(_check_text(workspace), *map(_check_rate, rates))
 
 
-def _check_list(data: Any) -> list[Any]:
-    if not isinstance(data, list) or not data:
-        raise WrongTypeError(f"expected a list that is not empty, got {data!r}")
-    return data
+def _check_text(value: Any) -> str:
+    if type(value) is not str:
+        raise WrongTypeError(f"expected str, got {value!r}")
+    return value
 
 
-def _structure_value(value: Any, target_type: type) -> Any:
-    return CONVERTER.structure(value, target_type)
+def _check_rate(value: Any) -> float:
+    if type(value) not in (int, float) or not isfinite(value):
+        raise WrongTypeError(f"expected a finite number, got {value!r}")
+    return float(value)
 
 
-def _structure_values(values: list[Any], target_type: type) -> list[Any]:
-    return [_structure_value(value, target_type) for value in values]
+def _check_list(data: Any) -> list[Any]:
+    if not isinstance(data, list) or not data:
+        raise WrongTypeError(f"expected a list that is not empty, got {data!r}")
+    return data
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -680,10 +680,10 @@
     ),
     Mutation(
         19,
-        "a notice of an earlier process is believed",
-        f"{CORE}/handlers/notices.py",
-        "if server is None or server.started_at != source.started_at:",
-        "if server is None:",
+        "what a server states outlives its process",
+        f"{CORE}/handlers/access.py",
+        "return Incarnation(name, server.started_at)",
+        "return Incarnation(name, 0)",
         "test_restrictions",
     ),
     Mutation(
