Keep the shares of the last host while it is drained

A host that is drained gives its shares of limits up after the handover time. With no other live host the set of hosts was empty, and the share of a limit was divided by zero: the event failed, and the process with it. Found by reading the change; the test failed with ZeroDivisionError. The last host keeps its shares, as nobody can take them over.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
@@ -208,7 +208,7 @@
 
     A host that does not reach the store keeps the hosts that it knew: it can't tell
     which of the others still run. One that is being drained gives its shares up once
-    the others may have taken them over.
+    the others may have taken them over, if there are any.
     """
     membership = state.restrictions.membership
     if now - membership.read_at < MEMBERSHIP_TTL_SECONDS:
@@ -218,7 +218,10 @@
         return
     hosts = set(state.list_live_hosts(now))
     requested_at = state.drain.requested_at
-    if requested_at is None or now - requested_at < compute_handover_seconds(state):
+    is_staying = requested_at is None
+    if requested_at is not None:
+        is_staying = now - requested_at < compute_handover_seconds(state)
+    if is_staying or not hosts:
         hosts.add(state.policy.host)
     membership.update(tuple(sorted(hosts)), now)
 
--- a/packages/geraniumhall-core/tests/test_restrictions.py
+++ b/packages/geraniumhall-core/tests/test_restrictions.py
@@ -27,6 +27,7 @@
 )
 from geraniumhall_core.events import (
     CallerDisconnected,
+    DrainRequested,
     PeerMessageReceived,
     PrefillEnded,
     ResponseStarted,
@@ -587,6 +588,15 @@
         is_open(state, "e1", NOW + 20.0)
         self.assertEqual(state.restrictions.membership.hosts, ("h1", "h2"))
 
+    def test_last_host_keeps_its_share_while_it_is_drained(self) -> None:
+        """With no other host to take it over, its callers are served to the end."""
+        state = build_state(policy={"drain_grace": 60.0, "drain_limit": 90.0})
+        receive(state, "e1", at=NOW, sent_at=1.9, request_limit=2.0)
+        is_open(state, "e1", NOW)
+        reduce(state, DrainRequested(at=NOW))
+        confirm_feeds(state, LATER)
+        self.assertTrue(is_open(state, "e1", LATER))
+
     def test_places_go_to_large_prompts_first(self) -> None:
         """Small ones get those that would lapse, so no kind is left out."""
         policy = PLACE_POLICIES.find("largest_first")
