--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/peers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/peers.py
@@ -44,7 +44,12 @@
     """Send a message to each peer; a failed send is logged and not retried."""
     if daemon.peers_socket is None:
         return
-    data = encode_peer_message(effect.message)
+    try:
+        data = encode_peer_message(effect.message)
+    except (OverflowError, ValueError) as error:
+        fields = {"message": type(effect.message).__name__, "reason": str(error)}
+        write_log("error", "peer_message_not_encoded", fields)
+        return
     for address in effect.addresses:
         try:
             await daemon.peers_socket.sendto(data, split_address(address))
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
@@ -37,6 +37,8 @@
 KEY_HEADERS = frozenset({b"authorization", b"x-api-key", b"proxy-authorization"})
 KEY_PATTERN = compile_pattern(rb"gh_[0-9A-Za-z]{1,32}_[0-9A-Za-z_-]{32,64}")
 ESTIMATED_BYTES_PER_TOKEN = 4
+MAX_TOKENS = 10**9
+MAX_TIMEOUT_DIGITS = 15
 PREFIX_BYTES = 1024  # of the prompt, hashed for routing by prefix
 MIN_RETRY_SECONDS = 1
 STATUS_SERVER_ERROR = 500
@@ -220,8 +222,8 @@
         return "$.stream: expected true or false"
     max_tokens = data.get("max_tokens")
     is_count = isinstance(max_tokens, int) and not isinstance(max_tokens, bool)
-    if max_tokens is not None and not (is_count and max_tokens > 0):
-        return "$.max_tokens: expected a positive integer"
+    if max_tokens is not None and not (is_count and 0 < max_tokens <= MAX_TOKENS):
+        return f"$.max_tokens: expected an integer from 1 to {MAX_TOKENS}"
     if not isinstance(data.get("stream_options", {}), dict):
         return "$.stream_options: expected an object"
     if path == "/v1/completions":
@@ -265,7 +267,7 @@
     credential: Credential | None,
 ) -> CallerRequest | Refusal:
     timeout = head.find(TIMEOUT_HEADER)
-    if timeout is not None and not (timeout.isdigit() and int(timeout) > 0):
+    if timeout is not None and not _is_timeout(timeout):
         return MALFORMED.with_reason(
             "x-request-timeout-ms: expected a positive integer"
         )
@@ -277,6 +279,10 @@
     )
 
 
+def _is_timeout(value: bytes) -> bool:
+    return value.isdigit() and len(value) <= MAX_TIMEOUT_DIGITS and int(value) > 0
+
+
 def _build_upstream(head: RequestHead, body: bytes) -> UpstreamRequest:
     headers = tuple(
         item
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -27,6 +27,7 @@
     RestrictionReport,
 )
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
+from geraniumhall_wire.notices import MAX_REQUEST_LIMIT
 
 FORMAT_VERSION = 3
 MESSAGE_NAMES = {
@@ -39,6 +40,7 @@
     Grant: "token",
 }
 
+MAX_NUMBER = 2**53  # of a statement; hosts count on from what they have heard
 DECODING_ERRORS = (
     ValueError,
     TypeError,
@@ -169,8 +171,8 @@
     source, rate, number, host = statement
     decoded = LimitStatement(
         source=_decode_incarnation(*source),
-        rate=None if rate is None else _parse_amount(rate),
-        number=int(number),
+        rate=None if rate is None else _parse_rate(rate),
+        number=_parse_number(number),
         host=str(host),
     )
     return ReportedLimit(decoded, _parse_amount(age))
@@ -215,6 +217,20 @@
     return tokens
 
 
+def _parse_rate(value: Any) -> float:
+    rate = _parse_amount(value)
+    if rate > MAX_REQUEST_LIMIT:
+        raise ValueError(f"limit {rate!r}, expected at most {MAX_REQUEST_LIMIT:.0f}")
+    return rate
+
+
+def _parse_number(value: Any) -> int:
+    number = int(value)
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"number {number!r}, expected 0 to {MAX_NUMBER}")
+    return number
+
+
 def _parse_amount(value: Any) -> float:
     amount = float(value)
     if not 0.0 <= amount < float("inf"):
--- a/packages/geraniumhall-wire/tests/test_caller.py
+++ b/packages/geraniumhall-wire/tests/test_caller.py
@@ -87,7 +87,8 @@
                 "stream_options": 1,
             },
         }
-        for path, data in cases.items():
+        huge = {"model": "draft", "messages": MESSAGES, "max_tokens": 10**30}
+        for path, data in [*cases.items(), ("$.max_tokens", huge)]:
             with self.subTest(path=path):
                 self.assertTrue(parse_refused(data).reason.startswith(path + ":"))
 
