--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/restrictions.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/restrictions.py
@@ -23,6 +23,8 @@
 
 MIN_REPORT_INTERVAL_SECONDS = 0.05
 EXCHANGE_SECONDS = 1.0
+# Each host passes news on, so more would get each of them many times.
+HOSTS_PER_REPORT = 6
 HOSTS_ASKED_AT_START = 4
 MAX_REPORTED_SERVERS = 128  # in one datagram
 
@@ -76,7 +78,7 @@
     sources = list(view.unreported)[:MAX_REPORTED_SERVERS]
     for source in sources:
         del view.unreported[source]
-    peers = tuple(list_peers(state, now).values())
+    peers = tuple(list_peers(state, now).values())[:HOSTS_PER_REPORT]
     if peers and state.policy.peer_address:
         report = RestrictionReport(
             host=state.policy.host,
