--- a/packages/geraniumhall-daemon/tests/test_grace.py
+++ b/packages/geraniumhall-daemon/tests/test_grace.py
@@ -5,10 +5,12 @@
 from json import loads
 
 import trio
-from session import SETTINGS, Session, build_chat, build_post, run_session
+import trio.testing
+from session import KEY, SETTINGS, Session, build_chat, build_post, run_session
 
 from geraniumhall_bench.standins.model import FaultInjection
 from geraniumhall_core.events import DrainRequested
+from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_net.client import ClientConnection, ExchangeFailedError
 
 GRACE_SECONDS = 3.0
@@ -121,6 +123,27 @@
 
         self.play(test)
 
+    def test_request_of_which_half_was_read(self) -> None:
+        """Its rest comes once the host has stopped listening: it is refused."""
+
+        async def test(session: Session) -> None:
+            assert session.daemon is not None
+            ours, theirs = trio.testing.memory_stream_pair()
+            session.nursery.start_soon(serve_caller, session.daemon, theirs)
+            head = b"POST /filings HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+            key = b"authorization: Bearer " + KEY.encode() + b"\r\n\r\n"
+            await ours.send_all(head + key + b"ab")
+            await trio.sleep(0.1)
+            start_drain(session)
+            await trio.sleep(STOP_LISTENING_SECONDS)
+            await ours.send_all(b"cd")
+            with trio.fail_after(0.1):
+                answer = bytes(await ours.receive_some(10000))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
+            self.assertEqual(session.count_calls("10.0.0.3:80"), 0)
+
+        self.play(test)
+
     def test_stream_under_way(self) -> None:
         """A stream that goes on is broken off, which its caller can tell."""
 
