--- a/packages/geraniumhall-core/src/geraniumhall_core/places.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/places.py
@@ -47,7 +47,7 @@
     """Admit prompts that are not below the mean, and others where tokens would lapse.
 
     It answers the load in which most engines name limits, so that the others get more
-    prompt tokens than they can prefill (test_request_limits).
+    prompt tokens than they can prefill (test_restrictions).
     """
     is_large = query.prompt_tokens >= query.mean_prompt_tokens
     return is_large or query.tokens >= LAPSING_FRACTION * query.burst
