--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,9 +4,9 @@
 import os
 import sys
 
-from lib.fleet import Client, Fleet, Replica
-from lib.load import HOST, build_configuration, build_headers
-from lib.platform import Platform
+from case_fleet import Client, Fleet, Replica
+from case_load import HOST, build_configuration, build_headers
+from case_platform import Platform
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 APPLY_SECONDS = 2.0
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 python3 - <<'CHECK'
 from pathlib import Path
 
-for path in sorted([*Path("lib").glob("*.py"), *Path(".").glob("*/case.py")]):
+for path in sorted([*Path(".").glob("case_*.py"), *Path(".").glob("*/case.py")]):
     compile(path.read_text(), str(path), "exec")
 CHECK
--- a/review/lib/fleet.py
+++ b/review/case_fleet.py
@@ -15,9 +15,9 @@
 import tomllib
 from pathlib import Path
 
-from lib.http import encode_request, encode_response, read_message, serve
+from case_http import encode_request, encode_response, read_message, serve
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 BOUNDS = {  # of the sheet of lindo-enamel in SYSTEM.md
     "fence_required": True, "revoke_ms": 5000, "drain_ms": 2000, "quota_window_s": 8, "quota_over": 0.1,
     "quota_slack": 140000, "retry_ratio": 0.2, "retry_slack": 54, "grace_s": 8, "report_window_s": 5, "lease_ms": 3000,
--- a/review/lib/load.py
+++ b/review/case_load.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from lib.fleet import Client
+from case_fleet import Client
 
 KEY = "i9n73hh2b9wu3fexd9dn"
 HOST = "ficu95.example"
--- a/review/lib/platform.py
+++ b/review/case_platform.py
@@ -4,7 +4,7 @@
 import json
 import time
 
-from lib.http import encode_response, serve
+from case_http import encode_response, serve
 
 JSON = {"Content-Type": "application/json"}
 
