Serve status pages on the listeners of operators only

Cause: the request loop that all listeners share looked the path up among the status pages before it called the listener's handler. Now each handler answers for itself: status pages on the listeners for health, metrics and operators, and on the callers' the routes alone decide. Ruled out: a route that is not in force (/orders/17 is served at the same time) and an answer of a server without a stamp (no arrival is recorded).

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
@@ -10,6 +10,7 @@
 from geraniumhall_core.events import AdminCalled
 from geraniumhall_core.keys import format_key
 from geraniumhall_daemon.daemon import Daemon
+from geraniumhall_daemon.health import STATUS_PAGES, serve_page
 from geraniumhall_daemon.serving import JSON_HEADERS, serve_connection
 from geraniumhall_net.server import ReceivedRequest, ServerConnection, ServerLimits
 from geraniumhall_wire.admin_answers import (
@@ -34,7 +35,12 @@
 async def serve_command(
     daemon: Daemon, connection: ServerConnection, received: ReceivedRequest
 ) -> bool:
-    """Answer one admin call; return whether the connection can serve another."""
+    """Answer one admin call; return whether the connection can serve another.
+
+    Status pages are served here too, without the operators' token.
+    """
+    if received.head.path in STATUS_PAGES:
+        return await serve_page(daemon, connection, received)
     response = await _handle_call(daemon, received)
     headers = JSON_HEADERS
     if response.version is not None:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
@@ -1,4 +1,6 @@
-"""Health, readiness and metrics pages, served by every listener.
+"""Health, readiness and metrics pages, served by all listeners but the callers'.
+
+On the callers' listener the routes alone decide, since a route may hold any path.
 
 The function that builds a page is registered under the page's path::
 
@@ -9,10 +11,13 @@
 from collections.abc import Callable
 
 import attrs
+import trio
 
+from geraniumhall_core.refusals import UNKNOWN_ROUTE
 from geraniumhall_core.registry import Registry
 from geraniumhall_daemon.daemon import Daemon
-from geraniumhall_net.server import ServerConnection
+from geraniumhall_daemon.serving import send_refusal, serve_connection
+from geraniumhall_net.server import ReceivedRequest, ServerConnection, ServerLimits
 
 STATUS_OK = 200
 STATUS_SERVICE_UNAVAILABLE = 503
@@ -50,10 +55,20 @@
     return StatusPage(STATUS_OK, daemon.metrics.encode())
 
 
-async def answer_status(
-    daemon: Daemon, connection: ServerConnection, path: str
-) -> None:
-    """Send the status page registered under `path`."""
+async def serve_status(daemon: Daemon, stream: trio.abc.Stream) -> None:
+    """Serve status pages only, until the connection closes."""
+    await serve_connection(daemon, stream, ServerLimits, serve_page)
+
+
+async def serve_page(
+    daemon: Daemon, connection: ServerConnection, received: ReceivedRequest
+) -> bool:
+    """Answer with the status page at the request's path, or refuse the request."""
+    path = received.head.path
+    if path not in STATUS_PAGES:
+        await send_refusal(daemon, connection, UNKNOWN_ROUTE, close=False)
+        return True
     page = STATUS_PAGES.find(path)(daemon)
     close = daemon.state.is_draining
     await connection.send_response(page.status, TEXT_HEADERS, page.body, close)
+    return True
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -14,10 +14,10 @@
 from geraniumhall_daemon.admin import serve_operator
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
+from geraniumhall_daemon.health import serve_status
 from geraniumhall_daemon.logs import configure_logs, write_log
 from geraniumhall_daemon.peers import open_peers_socket, receive_messages
 from geraniumhall_daemon.reloads import SettingsFile
-from geraniumhall_daemon.serving import serve_status
 from geraniumhall_net.listener import Listener
 from geraniumhall_platform import ObjectsDriver, RoutedFront
 from geraniumhall_wire.openai_front import OpenAiFront
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
@@ -1,18 +1,16 @@
-"""Request loop, refusals and status pages, shared by all listeners."""
+"""Request loop and refusals, shared by all listeners."""
 
 from collections.abc import Awaitable, Callable
 
 import trio
 
-from geraniumhall_core.refusals import UNKNOWN_ROUTE, Refusal
+from geraniumhall_core.refusals import Refusal
 from geraniumhall_daemon.daemon import Daemon
-from geraniumhall_daemon.health import STATUS_PAGES, answer_status
 from geraniumhall_net.server import (
     ClientDisconnectedError,
     LimitsSource,
     ReceivedRequest,
     ServerConnection,
-    ServerLimits,
     open_server_connection,
 )
 from geraniumhall_wire.heads import Header
@@ -49,18 +47,6 @@
     await connection.send_response(encoded.status, encoded.headers, encoded.body, close)
 
 
-async def serve_status(daemon: Daemon, stream: trio.abc.Stream) -> None:
-    """Serve status pages only, until the connection closes."""
-
-    async def refuse(
-        daemon: Daemon, connection: ServerConnection, received: ReceivedRequest
-    ) -> bool:
-        await send_refusal(daemon, connection, UNKNOWN_ROUTE, close=False)
-        return True
-
-    await serve_connection(daemon, stream, ServerLimits, refuse)
-
-
 async def _serve_request(
     daemon: Daemon, connection: ServerConnection, handler: RequestHandler
 ) -> bool:
@@ -70,8 +56,5 @@
     if isinstance(received, Refusal):
         await send_refusal(daemon, connection, received, close=True)
         return False
-    if received.head.path in STATUS_PAGES:
-        await answer_status(daemon, connection, received.head.path)
-        return connection.start_next_cycle()
     may_continue = await handler(daemon, connection, received)
     return may_continue and connection.start_next_cycle()
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -89,7 +89,7 @@
 class HealthSettings:
     """Separate listener for health checks, off if `listen` is empty.
 
-    Health checks are also served on the listeners for callers and operators.
+    Health checks are also served on the listeners for operators and metrics.
     """
 
     listen: str = ""
