Look the longest prefix of a path up as text

Cause: the look-up took the path apart at slashes and dropped empty segments; the index folded trailing slashes of prefixes. PathIndex compares as text, at the slashes within the longest prefix only.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 bench: $(STAMP)
 	$(VENV)/bin/geraniumhall bench relay
+	$(VENV)/bin/geraniumhall bench routes
 
 $(STAMP): $(ROOT)/requirements.txt $(foreach project,$(PROJECTS),$(ROOT)/$(project)/pyproject.toml)
 	python3 -m venv $(VENV)
--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -19,6 +19,7 @@
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.orders import DesiredRole, ServerRole
 from geraniumhall_core.parts import PART_KIND
+from geraniumhall_core.path_index import PathIndex
 from geraniumhall_core.records import DELETED, RECORD_KINDS, ObjectKey, VersionedRecord
 
 CONFIGURATION_KIND = "configuration"
@@ -238,9 +239,7 @@
     """A host's copy of the catalogue, with its indexes.
 
     `tables` holds the records by kind and name. `versions` holds the newest known
-    version of each object, also of deleted ones. `entries_by_prefix` maps pairs of
-    a virtual host and a path to names of entries: a path that ends with a slash
-    matches every path below it, and any other path only itself.
+    version of each object, also of deleted ones. `paths` finds the names of entries.
     """
 
     tables: dict[str, dict[str, Any]] = attrs.field(
@@ -253,7 +252,7 @@
     services: dict[str, Service] = attrs.field(factory=dict)
     servers: dict[str, BackendServer] = attrs.field(factory=dict)
     servers_by_service: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
-    entries_by_prefix: dict[tuple[str, str], str] = attrs.field(factory=dict)
+    paths: PathIndex = PathIndex()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -266,15 +265,11 @@
         return self.tables["wish"]
 
     def find_entry_by_path(self, host: str, path: str) -> str | None:
-        """Return the name of the entry with the longest matching prefix, if any."""
-        prefix = path.split("?", 1)[0]
-        while prefix:
-            name = self.entries_by_prefix.get((host, prefix))
-            if name is not None:
-                return name
-            prefix = prefix.rstrip("/").rpartition("/")[0]
-            prefix = prefix + "/" if prefix else ""
-        return self.entries_by_prefix.get((host, "/"))
+        """Return the name of the entry with the longest matching prefix, if any.
+
+        `path` is that of a request, without a query.
+        """
+        return self.paths.find(host, path)
 
     def find_service(self, name: str) -> Service:
         """Return a service's configuration, or the default if it has none."""
@@ -335,7 +330,7 @@
     catalogue.services = configured.services
     catalogue.servers = {**tables["server"], **tables[REGISTERED_SERVER_KIND]}
     catalogue.servers_by_service = _group_servers(catalogue.servers)
-    catalogue.entries_by_prefix = _map_prefixes(catalogue.entries)
+    catalogue.paths = PathIndex.from_entries(catalogue.entries)
 
 
 def _group_servers(servers: dict[str, BackendServer]) -> dict[str, tuple[str, ...]]:
@@ -345,14 +340,3 @@
             for service in server.services:
                 groups.setdefault(service, []).append(name)
     return {service: tuple(names) for service, names in groups.items()}
-
-
-def _map_prefixes(entries: dict[str, CatalogueEntry]) -> dict[tuple[str, str], str]:
-    mapped = {}
-    for name, entry in entries.items():
-        if not entry.path:
-            continue
-        mapped[(entry.host, entry.path.rstrip("/") + "/")] = name
-        if not entry.path.endswith("/"):
-            mapped[(entry.host, entry.path)] = name
-    return mapped
--- a/packages/geraniumhall-core/tests/builders.py
+++ b/packages/geraniumhall-core/tests/builders.py
@@ -87,6 +87,13 @@
     )
 
 
+def build_service_entry(**fields: Any) -> CatalogueEntry:
+    """Return an entry for a plain service that all workspaces may use."""
+    return CatalogueEntry(
+        owner="", service_class=ServiceClass.SERVICE, shared=True, **fields
+    )
+
+
 def build_listing(records: dict[ObjectKey, Any], revision: int = 100) -> Listing:
     """Return a listing of records with versions counted from one."""
     objects = [
--- a/packages/geraniumhall-core/tests/test_catalogue.py
+++ b/packages/geraniumhall-core/tests/test_catalogue.py
@@ -2,15 +2,13 @@
 
 import unittest
 
-from builders import build_listing, build_records, build_server
+from builders import build_listing, build_records, build_server, build_service_entry
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
 from geraniumhall_core.catalogue import (
     Catalogue,
-    CatalogueEntry,
     Configuration,
-    ServiceClass,
     apply_changes,
     infer_deletions,
 )
@@ -20,13 +18,6 @@
 KEY = ObjectKey("key", "k1")
 
 
-def build_entry(**fields: object) -> CatalogueEntry:
-    """Return a shared service entry."""
-    return CatalogueEntry(
-        owner="", service_class=ServiceClass.SERVICE, shared=True, **fields
-    )
-
-
 class MonotonicUpdateTest(unittest.TestCase):
     """A copy never goes back to an older version of a record."""
 
@@ -90,10 +81,10 @@
         key = ObjectKey("configuration", "main")
         record = KeyRecord.from_opaque("audit", "secret")
         old = Configuration(
-            version=1, entries={"a": build_entry()}, keys={"id": record}
+            version=1, entries={"a": build_service_entry()}, keys={"id": record}
         )
-        new = Configuration(version=2, entries={"b": build_entry()})
-        own_entry = VersionedRecord(ObjectKey("entry", "own"), 1, build_entry())
+        new = Configuration(version=2, entries={"b": build_service_entry()})
+        own_entry = VersionedRecord(ObjectKey("entry", "own"), 1, build_service_entry())
         apply_changes(catalogue, [own_entry])
         apply_changes(catalogue, [VersionedRecord(key, 2, old)])
         apply_changes(catalogue, [VersionedRecord(key, 3, new)])
@@ -107,11 +98,11 @@
         """Index entries of several virtual hosts, and one without."""
         self.catalogue = Catalogue()
         entries = {
-            "short": build_entry(host="a.example", path="/x/"),
-            "long": build_entry(host="a.example", path="/x/y/"),
-            "other": build_entry(host="b.example", path="/x/"),
-            "root": build_entry(host="c.example", path="/"),
-            "plain": build_entry(path="/filings"),
+            "short": build_service_entry(host="a.example", path="/x/"),
+            "long": build_service_entry(host="a.example", path="/x/y/"),
+            "other": build_service_entry(host="b.example", path="/x/"),
+            "root": build_service_entry(host="c.example", path="/"),
+            "plain": build_service_entry(path="/filings"),
         }
         configuration = Configuration(version=1, entries=entries)
         key = ObjectKey("configuration", "main")
