--- a/packages/geraniumhall-wire/src/geraniumhall_wire/converter.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/converter.py
@@ -71,11 +71,24 @@
         raise InvalidDataError(_collect_violations(error)) from error
 
 
+def is_unicode(text: str) -> bool:
+    """Return whether a text has no half of a surrogate pair, so it can be encoded."""
+    if text.isascii():
+        return True
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _structure_primitive(value: Any, target_type: Any) -> Any:
     allowed: tuple[type, ...] = (int, float) if target_type is float else (target_type,)
     is_misplaced_bool = isinstance(value, bool) and target_type is not bool
     if not isinstance(value, allowed) or is_misplaced_bool:
         raise WrongTypeError(f"expected {target_type.__name__}, got {_shorten(value)}")
+    if isinstance(value, str) and not is_unicode(value):
+        raise WrongTypeError(f"expected Unicode text, got {_shorten(value)}")
     converted: Any = target_type(value)
     if target_type is int and not MIN_INTEGER <= converted <= MAX_INTEGER:
         raise WrongTypeError("expected an integer of at most 64 bits")
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
@@ -21,6 +21,7 @@
     InvalidDataError,
     WrongTypeError,
     build_converter,
+    is_unicode,
     structure,
 )
 
@@ -66,8 +67,8 @@
 
 
 def _check_text(value: Any) -> str:
-    if type(value) is not str:
-        raise WrongTypeError(f"expected str, got {value!r}")
+    if type(value) is not str or not is_unicode(value):
+        raise WrongTypeError(f"expected Unicode text, got {value!r}")
     return value
 
 
