Report unusable objects with an answer, and decide on them in the reducer

After a listing, a configuration that can't be decoded counted as a deleted one: every route was dropped, and all requests got 404. So did a host record, whose share of the limits was then given to others.

Cause: the driver left unusable objects out, and a listing without an object implies its deletion. Answers now name unusable objects with the reason. The reducer takes an unusable entry of a server for a deletion, leaves any other object as it was, logs each reason once, and shows all to operators (geraniumhall unusable, objects.unusable).

--- a/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -233,6 +233,11 @@
         data = self._context.call("GET", "/admin/v1/servers").data
         print_result(data["servers"], self._context.json)
 
+    def unusable(self) -> None:
+        """List the store's objects that the daemon can't decode, with the reasons."""
+        data = self._context.call("GET", "/admin/v1/unusable").data
+        print_result(data["objects"], self._context.json)
+
     def bench(self, name: str) -> None:
         """Run a benchmark by name, such as relay."""
         if name not in BENCHMARKS:
--- a/packages/geraniumhall-core/src/geraniumhall_core/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/admin.py
@@ -59,6 +59,11 @@
     """Read what this daemon knows of the other daemons."""
 
 
+@attrs.frozen
+class ReadUnusable(AdminCommand):
+    """Read which objects of the store this daemon can't decode."""
+
+
 @attrs.frozen
 class ReadDump(AdminCommand):
     """Read the whole state of this daemon, without secrets."""
@@ -187,3 +192,19 @@
     """The backend servers of the catalogue."""
 
     servers: tuple[ServerStatus, ...]
+
+
+@attrs.frozen(kw_only=True)
+class UnusableStatus:
+    """An object of a feed that can't be decoded; it may lack a name."""
+
+    feed: str
+    object: str
+    reason: str
+
+
+@attrs.frozen
+class UnusableObjects(AdminAnswer):
+    """The objects of the store that this daemon can't decode."""
+
+    objects: tuple[UnusableStatus, ...]
--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -10,7 +10,7 @@
 both have a name, the configuration or the registration takes precedence.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import Enum
 from typing import Any
 
@@ -283,13 +283,12 @@
     catalogue: Catalogue,
     kinds: tuple[str, ...],
     revision: int,
-    objects: Iterable[VersionedRecord],
+    listed: Collection[ObjectKey],
 ) -> list[VersionedRecord]:
     """Return the deletions implied by a full listing of `kinds` at `revision`.
 
     A known object that the listing lacks was deleted, unless it is newer.
     """
-    listed = {item.key for item in objects}
     return [
         VersionedRecord(key, revision, DELETED)
         for key, version in catalogue.versions.items()
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admin.py
@@ -14,11 +14,13 @@
     ReadRecord,
     ReadServers,
     ReadStatus,
+    ReadUnusable,
     ServerStatus,
     ServerStatuses,
     StartDrain,
     StateDump,
     Status,
+    UnusableObjects,
 )
 from geraniumhall_core.catalogue import BackendServer
 from geraniumhall_core.effects import AnswerAdmin, CallPlatform
@@ -31,6 +33,7 @@
 )
 from geraniumhall_core.handlers.lifecycle import begin_drain
 from geraniumhall_core.handlers.reducer import REDUCER
+from geraniumhall_core.handlers.unusable_objects import describe_unusable
 from geraniumhall_core.platform import Feed, GetObject, ListObjects, PlatformMessage
 from geraniumhall_core.purposes import ServeAdmin
 from geraniumhall_core.reducer import Effect
@@ -121,6 +124,15 @@
     yield AnswerAdmin(call_id=event.call_id, answer=MemberStatuses(statuses))
 
 
+@COMMAND_HANDLERS.register(ReadUnusable)
+def read_unusable(
+    state: DaemonState, event: AdminCalled, command: ReadUnusable
+) -> Iterator[Effect]:
+    """Answer with the objects of the store that can't be decoded."""
+    answer = UnusableObjects(describe_unusable(state))
+    yield AnswerAdmin(call_id=event.call_id, answer=answer)
+
+
 @COMMAND_HANDLERS.register(ReadDump)
 def read_dump(
     state: DaemonState, event: AdminCalled, command: ReadDump
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -30,6 +30,7 @@
 )
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.restrictions import ask_for_restrictions
+from geraniumhall_core.handlers.unusable_objects import track_unusable
 from geraniumhall_core.parts import PART_KIND
 from geraniumhall_core.platform import (
     Changes,
@@ -179,14 +180,25 @@
 def _apply_answer(
     state: DaemonState, feed: Feed, answer: Listing | Changes, now: float, since: float
 ) -> Iterator[Effect]:
+    """Apply what a feed's answer holds.
+
+    An unusable entry of a server names no server to use. Any other object that turned
+    unusable stays as it was.
+    """
+    yield from track_unusable(state, feed, answer)
     changes = list(answer.objects if isinstance(answer, Listing) else answer.changes)
+    unusable = {item.key: item.version for item in answer.unusable if item.key}
+    if feed is Feed.SERVERS:
+        changes += [VersionedRecord(*item, DELETED) for item in unusable.items()]
+    listed = None
     if isinstance(answer, Listing):
+        listed = {*unusable, *(item.key for item in changes)}
         kinds = KINDS_BY_FEED[feed]
-        changes += infer_deletions(state.catalogue, kinds, answer.revision, changes)
+        changes += infer_deletions(state.catalogue, kinds, answer.revision, listed)
     if feed is Feed.SERVERS:
         changes = _defer_deletions(state, changes, now)
     if feed is Feed.RECORDS:
-        observe_hosts(state, changes, isinstance(answer, Listing), now, since)
+        observe_hosts(state, changes, listed, now, since)
         observe_lease(state, changes, now)
         discard_sealed_usage(state, changes)
     yield from _apply_changes(state, changes, now)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -33,6 +33,7 @@
     report_restrictions,
 )
 from geraniumhall_core.handlers.scaling import reconcile_scale
+from geraniumhall_core.handlers.unusable_objects import count_unusable
 from geraniumhall_core.handlers.usage import advance_usage_sealing
 from geraniumhall_core.handlers.waiting import end_requests, expire_waiting, refuse_held
 from geraniumhall_core.reducer import Effect
@@ -146,6 +147,7 @@
             Metric("requests.open", len(state.requests)),
             Metric("requests.waiting", waiting),
             Metric("hosts.live", state.live_hosts),
+            Metric("objects.unusable", count_unusable(state)),
             Metric("parts.held", state.quarantine.count_held()),
             Metric("parts.suspected", len(state.quarantine.parts)),
             Metric("servers.known", len(state.catalogue.servers)),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -118,30 +118,30 @@
 def observe_hosts(
     state: DaemonState,
     changes: list[VersionedRecord],
-    is_listing: bool,
+    listed: set[ObjectKey] | None,
     now: float,
     since: float,
 ) -> None:
     """Apply the records of other hosts.
 
     `since` is when the previous copy was confirmed, in seconds; the records
-    can't have changed before it. Hosts missing from a listing are removed.
+    can't have changed before it. Hosts missing from a listing are removed; `listed`
+    holds what it names, and is None for a watch.
     """
-    listed = set()
     for item in changes:
         if item.key.kind != HOST_KIND or item.key.name == state.policy.host:
             continue
         if item.record is DELETED:
             state.hosts.remove(item.key.name)
         else:
-            listed.add(item.key.name)
             propagation_bound = state.policy.stale_after
             state.hosts.observe(
                 item.key.name, item.record, now, since, propagation_bound
             )
-    if is_listing:
-        for name in set(state.hosts.known) - listed:
-            state.hosts.remove(name)
+    if listed is not None:
+        for name in list(state.hosts.known):
+            if ObjectKey(HOST_KIND, name) not in listed:
+                state.hosts.remove(name)
     state.live_hosts = 1 + len(state.list_live_hosts(now))
     refresh_membership(state, now)
     state.foreign_demand.valid_until = now
--- a/packages/geraniumhall-core/src/geraniumhall_core/platform.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform.py
@@ -133,12 +133,25 @@
     current: VersionedRecord | None
 
 
+@attrs.frozen
+class UnusableObject:
+    """An object that can't be decoded into a record, and why.
+
+    An object of which not even the name can be read has no key.
+    """
+
+    key: ObjectKey | None
+    version: int
+    reason: str
+
+
 @attrs.frozen
 class Listing(PlatformAnswer):
     """The listed objects, at one revision of the store."""
 
     revision: int
     objects: tuple[VersionedRecord, ...]
+    unusable: tuple[UnusableObject, ...] = ()
 
 
 @attrs.frozen
@@ -147,6 +160,7 @@
 
     revision: int
     changes: tuple[VersionedRecord, ...]
+    unusable: tuple[UnusableObject, ...] = ()
 
 
 @attrs.frozen
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -17,7 +17,7 @@
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.prefixes import PrefixCaches
 from geraniumhall_core.quarantine import BrokenRequest, Quarantine
-from geraniumhall_core.records import VersionedRecord
+from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reports import ReportingState, ReportsView
 from geraniumhall_core.requests import RequestRecord
 from geraniumhall_core.restrictions import RestrictionsView
@@ -54,12 +54,14 @@
 
     At `revision` zero the next call is a full listing. `confirmed_at` is the
     time at which the newest successful call was sent: the copy is known to have
-    been current then. `failures` counts failed calls in a row.
+    been current then. `failures` counts failed calls in a row. `unusable` holds the
+    objects that can't be decoded, with the reason.
     """
 
     revision: int = 0
     confirmed_at: float = float("-inf")
     failures: int = 0
+    unusable: dict[ObjectKey | None, str] = attrs.field(factory=dict)
 
     @property
     def has_synced(self) -> bool:
--- a/packages/geraniumhall-core/tests/test_catalogue.py
+++ b/packages/geraniumhall-core/tests/test_catalogue.py
@@ -32,20 +32,20 @@
         """A listing does not delete a record that is newer than the listing."""
         catalogue = Catalogue()
         apply_changes(catalogue, [VersionedRecord(KEY, 9, "new")])
-        self.assertEqual(infer_deletions(catalogue, ("key",), 5, []), [])
+        self.assertEqual(infer_deletions(catalogue, ("key",), 5, ()), [])
 
     def test_listing_deletes_what_it_lacks(self) -> None:
         """A newer listing deletes the records that it does not contain."""
         catalogue = Catalogue()
         apply_changes(catalogue, [VersionedRecord(KEY, 9, "new")])
-        apply_changes(catalogue, infer_deletions(catalogue, ("key",), 12, []))
+        apply_changes(catalogue, infer_deletions(catalogue, ("key",), 12, ()))
         self.assertEqual(catalogue.keys, {})
 
     def test_listing_of_one_feed_deletes_nothing_of_another(self) -> None:
         """A listing only implies deletions of the kinds that it covers."""
         catalogue = Catalogue()
         apply_changes(catalogue, [VersionedRecord(KEY, 9, "new")])
-        self.assertEqual(infer_deletions(catalogue, ("server",), 12, []), [])
+        self.assertEqual(infer_deletions(catalogue, ("server",), 12, ()), [])
 
     @seed(20261204)
     @given(st.permutations(range(1, 9)))
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
@@ -15,6 +15,7 @@
     ServerStatuses,
     StateDump,
     Status,
+    UnusableObjects,
 )
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.platform import (
@@ -73,7 +74,9 @@
     return AdminResponse(refusal.status, {"error": error})
 
 
-@ANSWER_ENCODERS.register(Status, ServerStatuses, MemberStatuses, StateDump)
+@ANSWER_ENCODERS.register(
+    Status, ServerStatuses, MemberStatuses, UnusableObjects, StateDump
+)
 def encode_description(answer: AdminAnswer) -> AdminResponse:
     """Encode an answer with all its fields except secrets."""
     return AdminResponse(200, describe(answer))
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
@@ -21,6 +21,7 @@
     ReadRecord,
     ReadServers,
     ReadStatus,
+    ReadUnusable,
     StartDrain,
     WriteRecord,
 )
@@ -104,6 +105,12 @@
     return ReadMembers()
 
 
+@ADMIN_ROUTES.register(("GET", f"{ADMIN_PREFIX}/unusable"))
+def parse_unusable(call: AdminCall) -> AdminCommand:
+    """Read the store's objects that the daemon can't decode."""
+    return ReadUnusable()
+
+
 @ADMIN_ROUTES.register(("POST", f"{ADMIN_PREFIX}/drain"))
 def parse_drain(call: AdminCall) -> AdminCommand:
     """Start draining the daemon."""
