--- a/packages/geraniumhall-daemon/tests/test_reloads.py
+++ b/packages/geraniumhall-daemon/tests/test_reloads.py
@@ -1,6 +1,8 @@
 """Tests of settings that change while the daemon runs."""
 
 import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -82,3 +84,36 @@
             self.assertIs(session.daemon.state.policy, before)
 
         run_session(test)
+
+
+START = """
+import os, runpy, signal, sys
+
+class SignalAtImport:
+    def find_spec(self, name, path=None, target=None):
+        if name == "trio":
+            for number in (signal.SIGHUP, signal.SIGUSR1):
+                os.kill(os.getpid(), number)
+
+sys.meta_path.insert(0, SignalAtImport())
+sys.argv = ["geraniumhalld", "--settings", sys.argv[1]]
+runpy.run_module("geraniumhall_daemon", run_name="__main__", alter_sys=True)
+"""
+EXIT_START_FAILED = 1
+START_SECONDS = 60
+
+
+class EarlySignalTest(unittest.TestCase):
+    """Signals that arrive while the process starts don't end it."""
+
+    # Guards against a process that ended by itself when its settings were changed.
+    def test_signals_during_the_import_are_ignored(self) -> None:
+        """The process goes on to read its settings, which are missing here."""
+        ended = subprocess.run(
+            [sys.executable, "-c", START, "/nowhere/h1.yaml"],
+            capture_output=True,
+            check=False,
+            timeout=START_SECONDS,
+        )
+        self.assertEqual(ended.returncode, EXIT_START_FAILED, ended.stderr)
+        self.assertIn(b"/nowhere/h1.yaml", ended.stderr)
