Count a socket that can't be created as a failed connection

With no descriptor left, connect_tcp raised the OSError of the socket's creation, which nothing caught: a call to the store ended the process. It is ConnectFailedError now, so the call fails as not run and is repeated. The same cause elsewhere: options that could not be set on an accepted socket would have ended the listener; that ends the one connection now. A datagram's failed send and a failed accept were handled before.

test_no_descriptor_left_fails_to_connect lowers the limit of descriptors to those in use; it failed with OSError 24 before.

--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -58,9 +58,12 @@
     except ValueError as error:
         raise ConnectFailedError(f"{address!r}: {error}") from error
     family = AF_INET6 if ":" in host else AF_INET
-    tcp_socket = trio.socket.socket(family)
-    enable_tcp_keepalive(tcp_socket)
     try:
+        tcp_socket = trio.socket.socket(family)
+    except OSError as error:  # such as no descriptor left
+        raise ConnectFailedError(f"{address}: {error}") from error
+    try:
+        enable_tcp_keepalive(tcp_socket)
         await tcp_socket.connect((host, port))
     except OSError as error:
         tcp_socket.close()
--- a/packages/geraniumhall-net/src/geraniumhall_net/listener.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/listener.py
@@ -78,11 +78,11 @@
         except trio.Cancelled:
             self._connection_limiter.release_on_behalf_of(token)
             raise
-        enable_tcp_keepalive(stream.socket)
         nursery.start_soon(self._handle, stream, token)
 
     async def _handle(self, stream: trio.SocketStream, token: object) -> None:
         try:
+            enable_tcp_keepalive(stream.socket)
             await self._handler(stream)
         except Exception:
             logger.exception("connection_handler_failed")
--- a/packages/geraniumhall-net/tests/test_client.py
+++ b/packages/geraniumhall-net/tests/test_client.py
@@ -1,7 +1,10 @@
 """Tests of HTTP client connections and their pool."""
 
+import os
+import resource
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 import trio
 import trio.testing
@@ -10,6 +13,7 @@
     ClientPool,
     ConnectFailedError,
     ExchangeFailedError,
+    connect_tcp,
     fetch_response,
 )
 from geraniumhall_wire.heads import UpstreamRequest
@@ -42,6 +46,35 @@
     trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@contextmanager
+def use_all_descriptors() -> Iterator[None]:
+    """Lower the limit of descriptors to those that are in use."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    used = max(int(name) for name in os.listdir("/proc/self/fd"))
+    opened = [os.open("/dev/null", os.O_RDONLY) for _ in range(used + 1)]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(opened) + 1, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        for descriptor in opened:
+            os.close(descriptor)
+
+
+class DescriptorTest(unittest.TestCase):
+    """A process without a descriptor left can't connect, and goes on."""
+
+    # Guards against a process that ended when it connected to the store.
+    def test_no_descriptor_left_fails_to_connect(self) -> None:
+        """The failure proves that nothing was sent, as any other of its kind."""
+
+        async def test() -> None:
+            with use_all_descriptors(), self.assertRaises(ConnectFailedError):
+                await connect_tcp("127.0.0.1:9")
+
+        trio.run(test)
+
+
 class RequestTest(unittest.TestCase):
     """An exchange returns a complete response or raises an error."""
 
