Count a loan of rate tokens that arrives after its round

A round ends after 50 ms, or as soon as no request waits for it; what other lenders had sent by then was dropped, though their buckets had paid for it. The last ended round of a workspace is kept, and each host awaited in it can still add its loan once.

The new test failed before, and the one on loans of earlier rounds holds.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
@@ -124,18 +124,19 @@
 ) -> Iterator[Effect]:
     """Add borrowed tokens to the bucket and admit waiting requests.
 
-    Duplicate loans and loans of another round are ignored.
+    Duplicate loans and loans of earlier rounds are ignored. One that comes after the
+    end of the last round counts, since the lender's bucket has paid for it.
     """
-    borrow_round = state.borrowing.rounds.get(message.workspace)
-    if borrow_round is None or borrow_round.number != message.number:
-        return
-    if message.host not in borrow_round.awaited_hosts:
+    borrow_round = state.borrowing.find_round(message)
+    if borrow_round is None:
         return
     borrow_round.awaited_hosts.remove(message.host)
     borrow_round.received += message.amount
     bucket = state.buckets.get(message.workspace)
     if bucket is not None:
         bucket.tokens += message.amount
+    if borrow_round is not state.borrowing.rounds.get(message.workspace):
+        return
     yield from _admit_waiting(state, message.workspace, event.at, event.draws)
     if not borrow_round.awaited_hosts or not borrow_round.waiting:
         yield from _end_round(state, message.workspace, event.at, event.draws)
@@ -162,6 +163,7 @@
     """
     yield from _admit_waiting(state, workspace, now, draws)
     borrow_round = state.borrowing.rounds.pop(workspace)
+    state.borrowing.ended[workspace] = borrow_round
     if borrow_round.received <= 0:
         state.borrowing.backoff_until[workspace] = now + BACKOFF_SECONDS
     fields = (
--- a/packages/geraniumhall-core/src/geraniumhall_core/loans.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/loans.py
@@ -49,12 +49,21 @@
 
 @attrs.define
 class BorrowingState:
-    """Borrowing rounds in progress, by workspace.
+    """Borrowing rounds in progress, by workspace, and the last one that has ended.
 
     No round is started for a workspace before its time in `backoff_until`, in
     seconds on the host's clock.
     """
 
     rounds: dict[str, BorrowRound] = attrs.field(factory=dict)
+    ended: dict[str, BorrowRound] = attrs.field(factory=dict)
     backoff_until: dict[str, float] = attrs.field(factory=dict)
     number: int = 0
+
+    def find_round(self, loan: Loan) -> BorrowRound | None:
+        """Return the round that awaits a loan, which may have ended before it came."""
+        rounds = (self.rounds.get(loan.workspace), self.ended.get(loan.workspace))
+        for found in rounds:
+            if found is not None and found.number == loan.number:
+                return found if loan.host in found.awaited_hosts else None
+        return None
--- a/packages/geraniumhall-core/tests/test_borrowing.py
+++ b/packages/geraniumhall-core/tests/test_borrowing.py
@@ -101,6 +101,16 @@
         deliver_loan(state, 0.0)
         self.assertEqual(deliver_loan(state, 5.0), ())
 
+    def test_loan_after_the_end_of_its_round_counts(self) -> None:
+        """The lender's bucket has paid for it, so it is not lost."""
+        state = build_exhausted_state()
+        send_request(state)
+        reduce(state, Ticked(at=1.06, wall_time=1.06, draws=(0.0, 0.0)))
+        before = state.buckets["audit"].tokens
+        deliver_loan(state, 2.0)
+        deliver_loan(state, 2.0)
+        self.assertAlmostEqual(state.buckets["audit"].tokens, before + 2.0)
+
     def test_disconnected_caller_leaves_the_round(self) -> None:
         """A request whose caller disconnected spends no borrowed tokens."""
         state = build_exhausted_state()
