Keep the share of a host that leaves, and count it once

Cause: hosts left a leaving host out of the shares as soon as its record said so, though it admits requests for some seconds, and its next process starts with its demand; the log names "1 hosts are live" at three hosts at a time. Now a host has a share until its records are silent, leaving or not; what it can't use it lends. A new process has used its overdraft. The same cause after an outage of the store: time without contact counted as silence of the hosts that had not been read of since.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/borrowing.py
@@ -6,7 +6,7 @@
 from geraniumhall_core.events import PeerMessageReceived
 from geraniumhall_core.handlers.attempts import enqueue_request, refuse_unpaid
 from geraniumhall_core.handlers.limits import spend_tokens
-from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS, list_peers
+from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS, list_lenders
 from geraniumhall_core.loans import LENDABLE_FRACTION, BorrowRound, Loan, LoanRequest
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import Refusal
@@ -27,7 +27,7 @@
     """
     if now < state.borrowing.backoff_until.get(workspace, float("-inf")):
         return False
-    return bool(list_peers(state, now))
+    return bool(list_lenders(state, now))
 
 
 def start_borrowing(
@@ -47,7 +47,7 @@
         borrow_round.waiting.append(request_id)
         return
     borrowing.number += 1
-    peers = _choose_lenders(list_peers(state, now), borrowing.number)
+    peers = _choose_lenders(list_lenders(state, now), borrowing.number)
     borrow_round = BorrowRound(
         borrowing.number, now + ROUND_TIMEOUT_SECONDS, [request_id]
     )
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -95,6 +95,8 @@
     since = feed.confirmed_at
     feed.confirmed_at = max(feed.confirmed_at, _date_answer(event, purpose))
     feed.revision = max(feed.revision, answer.revision)
+    if purpose.feed is Feed.RECORDS and not is_first:
+        state.excuse_silence(feed.confirmed_at - since)
     yield from _apply_answer(state, purpose.feed, answer, event.at, since)
     if is_first:
         yield from ask_for_restrictions(state, event.at, event.draws[0])
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/limits.py
@@ -4,7 +4,7 @@
 from geraniumhall_core.limits import DemandMeter, Share, TokenBucket, compute_fraction
 from geraniumhall_core.refusals import RATE_EXCEEDED, Refusal
 from geraniumhall_core.requests import CallerRequest, RequestRecord
-from geraniumhall_core.state import DaemonState
+from geraniumhall_core.state import DaemonState, ForeignDemand
 
 EXCESS_RATE_FRACTION = 0.4  # of the tolerated excess
 EXCESS_OVERDRAFT_FRACTION = 0.35  # of the tolerated excess
@@ -42,7 +42,8 @@
     refusal = RATE_EXCEEDED.with_reason(
         f"the workspace {name!r} is over its rate: this host's share is"
         f" {bucket.share.rate:.0f} of {workspace.rate:.0f} a second, of which"
-        f" {bucket.tokens:.0f} are left; {state.live_hosts} hosts are live"
+        f" {bucket.tokens:.0f} are left; {state.foreign_demand.hosts + 1} hosts have"
+        f" shares, {state.live_hosts} are live"
     )
     return refusal if wait is None else refusal.with_retry_after(wait)
 
@@ -50,9 +51,9 @@
 def refresh_buckets(state: DaemonState, now: float) -> None:
     """Resize all buckets by the catalogue and the other hosts' demand.
 
-    The first buckets of a process start empty, so that a restart does not
-    grant a second burst. Buckets of workspaces added later start full, because
-    such a workspace is new on every host.
+    The first buckets of a process start with the overdraft used, so that a restart
+    grants neither a second burst nor a second overdraft. Buckets of workspaces added
+    later start full, because such a workspace is new on every host.
     """
     if now < state.buckets_due_at or not state.all_feeds_synced:
         return
@@ -79,7 +80,7 @@
     share = _compute_share(state, name, workspace, now)
     bucket = state.buckets.get(name)
     if bucket is None:
-        initial = share.burst if state.has_buckets else 0.0
+        initial = share.burst if state.has_buckets else -share.overdraft
         bucket = TokenBucket(share, now, initial)
         state.buckets[name] = bucket
     elif bucket.share != share:
@@ -92,8 +93,9 @@
 ) -> Share:
     propagation_bound = state.policy.stale_after
     own = state.publishing.compute_counted_demand(name, now, propagation_bound)
-    others = _collect_foreign_demand(state, now).get(name, [])
-    silent = [0.0] * max(0, state.live_hosts - 1 - len(others))
+    foreign = _collect_foreign_demand(state, now)
+    others = foreign.rates.get(name, [])
+    silent = [0.0] * max(0, foreign.hosts - len(others))
     fraction = compute_fraction(own, [*others, *silent])
     return _compute_fleet_limit(state, workspace).scale(fraction)
 
@@ -115,8 +117,8 @@
     return Share(rate + extra_rate, burst, excess * EXCESS_OVERDRAFT_FRACTION)
 
 
-def _collect_foreign_demand(state: DaemonState, now: float) -> dict[str, list[float]]:
-    """Return the other live hosts' demand, a list for each workspace.
+def _collect_foreign_demand(state: DaemonState, now: float) -> ForeignDemand:
+    """Return the demand of the other hosts that may use a share.
 
     The result is cached for `FOREIGN_DEMAND_TTL_SECONDS`. It is computed for
     the end of that time, so that it includes the increases that the hosts may
@@ -124,14 +126,16 @@
     """
     foreign = state.foreign_demand
     if now < foreign.valid_until:
-        return foreign.rates
+        return foreign
     foreign.valid_until = now + FOREIGN_DEMAND_TTL_SECONDS
     foreign.rates = {}
     propagation_bound = state.policy.stale_after
-    for host in state.list_live_hosts(now).values():
+    claimants = state.list_claimants(now)
+    foreign.hosts = len(claimants)
+    for host in claimants.values():
         for demand in host.record.demands:
             counted = host.demand_history.compute_counted(
                 demand.workspace, foreign.valid_until, propagation_bound
             )
             foreign.rates.setdefault(demand.workspace, []).append(counted)
-    return foreign.rates
+    return foreign
--- a/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
@@ -49,11 +49,13 @@
 class KnownHost:
     """The latest record of another host, and the demand that it published.
 
-    `changed_at` is when the record last changed, in seconds on this host's clock.
+    `changed_at` is when the record last changed, in seconds on this host's clock. For
+    `uncovered` seconds since then no records could be read.
     """
 
     record: HostRecord
     changed_at: float
+    uncovered: float = 0.0
     demand_history: DemandHistory = attrs.field(factory=DemandHistory)
 
 
@@ -85,6 +87,7 @@
             since = float("-inf")
         known.record = record
         known.changed_at = now
+        known.uncovered = 0.0
         known.demand_history.add(rates, since, propagation_bound)
 
     def remove(self, name: str) -> None:
@@ -101,3 +104,21 @@
             for name, known in self.known.items()
             if now - known.changed_at <= silence and not known.record.is_leaving
         }
+
+    def list_claimants(self, now: float, silence: float) -> dict[str, KnownHost]:
+        """Return the hosts that may use a share of the workspaces' limits.
+
+        A leaving host admits requests for a while yet, and the process that starts
+        again in its place does before its first record is read. Time without contact
+        to the store is no silence of a host.
+        """
+        return {
+            name: known
+            for name, known in self.known.items()
+            if now - known.changed_at - known.uncovered <= silence
+        }
+
+    def excuse_silence(self, seconds: float) -> None:
+        """Count a time in which no records could be read as no silence."""
+        for known in self.known.values():
+            known.uncovered += seconds
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -27,6 +27,7 @@
 from geraniumhall_core.usage import UsageLedger, UsageSeals
 
 # At the default interval of 1.5 s, 40 hosts write 27 records a second in all.
+COVERED_FRACTION = 0.5  # of the silence after which a host counts as down
 HOSTS_AT_BASE_INTERVAL = 40
 # The rest is for hosts not discovered yet and for requests that release a KV cache.
 USABLE_CONNECTION_FRACTION = 0.8
@@ -109,11 +110,12 @@
 
 @attrs.define
 class ForeignDemand:
-    """Cached demand rates that the other live hosts claim, by workspace.
+    """Cached demand rates that the other `hosts` with shares claim, by workspace.
 
     The cache is valid until `valid_until` seconds on the host's clock.
     """
 
+    hosts: int = 0
     rates: dict[str, list[float]] = attrs.field(factory=dict)
     valid_until: float = float("-inf")
 
@@ -251,6 +253,25 @@
             now, self.policy.host_silence * self.interval_factor
         )
 
+    def list_claimants(self, now: float) -> dict[str, KnownHost]:
+        """Return the other hosts that may use a share of the workspaces' limits.
+
+        Without contact to the store, that is as of a time shortly after the last one.
+        """
+        silence = self.policy.host_silence * self.interval_factor
+        confirmed_at = self.feeds[Feed.RECORDS].confirmed_at
+        as_of = min(now, confirmed_at + silence * COVERED_FRACTION)
+        return self.hosts.list_claimants(as_of, silence)
+
+    def excuse_silence(self, unread: float) -> None:
+        """Count no silence of hosts for most of a time in which nothing was read.
+
+        `unread` is in seconds.
+        """
+        covered = self.policy.host_silence * self.interval_factor * COVERED_FRACTION
+        if unread > covered:
+            self.hosts.excuse_silence(unread - covered)
+
     def compute_catalogue_age(self, now: float) -> float:
         """Return the seconds since keys, limits and routes were last confirmed."""
         followed = (self.feeds[Feed.CONFIGURATION], self.feeds[Feed.RECORDS])
--- a/packages/geraniumhall-core/tests/test_borrowing.py
+++ b/packages/geraniumhall-core/tests/test_borrowing.py
@@ -111,6 +111,21 @@
         deliver_loan(state, 2.0)
         self.assertAlmostEqual(state.buckets["audit"].tokens, before + 2.0)
 
+    def test_leaving_host_is_asked(self) -> None:
+        """The others count its share until it has ended, so it lends it."""
+        state = build_exhausted_state()
+        record = HostRecord(
+            failure_domain="b",
+            incarnation=1,
+            sequence=2,
+            peer_address=ADDRESS,
+            is_leaving=True,
+        )
+        change = VersionedRecord(ObjectKey("host", "h2"), 102, record)
+        apply_feed_answer(state, Feed.RECORDS, Changes(102, (change,)))
+        effect = find_effect(send_request(state), SendToPeers)
+        self.assertEqual(effect.addresses, (ADDRESS,))
+
     def test_disconnected_caller_leaves_the_round(self) -> None:
         """A request whose caller disconnected spends no borrowed tokens."""
         state = build_exhausted_state()
