Count the grace of deletions after silence from the last call in vain

While a host is cut off its calls end in silence, a second or more apart, so the first answer comes late. Now the grace counts from half a second after the start of the last call that ended in silence; a refusal or reset shows a store that is down, and the grace counts from the first answer as before. The time that a call waited in vain counts as backoff.

Ruled out: a late listing (it came 0.7 s after the removal) and a lost watch (mended before).

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -56,6 +56,7 @@
     Feed.SERVERS: SERVERS_WAIT_FACTOR,
     Feed.RECORDS: 1.0,
 }
+SILENT_CALL_SECONDS = 0.5  # a call that takes longer to fail got no answer
 RECONFIRM_WAIT_SECONDS = 0.05  # after a failure
 SERVERS_PAUSE_SECONDS = 0.5
 RECORDS_PER_READ = 20  # on average
@@ -145,8 +146,12 @@
 
     A failure counts only if its call was made at that time or later. After an
     outage in which registrations can have expired, deletions are deferred.
+
+    An outage may have ended before the first answer: while a host is cut off, its
+    calls get no answer, and the link may be back since the last of them began.
     """
     if isinstance(event.answer, PlatformFailure):
+        _record_failure(state, event)
         if event.called_at >= state.platform_up_since:
             state.platform_up_since = float("inf")
         return
@@ -154,10 +159,26 @@
     if event.at < state.platform_up_since:
         state.platform_up_since = event.at
         if outage >= state.policy.min_lapse_outage:
-            state.deferred.until = event.at + state.policy.lapse_grace
+            back_at = event.at
+            if state.platform_was_silent:
+                back_at = min(back_at, state.platform_down_at + SILENT_CALL_SECONDS)
+            state.deferred.until = back_at + state.policy.lapse_grace
     state.platform_contact_at = event.at
 
 
+def _record_failure(state: DaemonState, event: PlatformAnswered) -> None:
+    """Record the newest time at which the platform could not be reached.
+
+    A call that fails soon shows a platform that was down then, and one that fails in
+    silence only that the link was cut as it began.
+    """
+    is_silent = event.at - event.called_at > SILENT_CALL_SECONDS
+    down_at = event.called_at if is_silent else event.at
+    if down_at >= state.platform_down_at:
+        state.platform_down_at = down_at
+        state.platform_was_silent = is_silent
+
+
 def _handle_feed_failure(
     state: DaemonState, feed: Feed, feed_state: FeedState, event: PlatformAnswered
 ) -> Iterator[Effect]:
@@ -176,7 +197,9 @@
         event.draws[0],
     )
     feed_state.failures += 1
-    yield _request_feed(state, feed, delay)
+    # A call that waited in vain has spaced the attempts out already.
+    waited = event.at - event.called_at
+    yield _request_feed(state, feed, max(policy.reconnect_base, delay - waited))
 
 
 def _apply_answer(
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -163,12 +163,13 @@
 
     `platform_up_since` is the time in seconds since which every call that reads a
     feed has been answered, and infinity after one that failed;
-    `platform_contact_at` is when the latest one was answered. `live_hosts`
-    includes this host. `breaks` holds the requests that broke off on a server until
-    it is known whether the server has ended. `has_buckets` is true once this process
-    has created its first buckets; all of them are resized at `buckets_due_at`
-    seconds. The keys of `scale_requests` are a service, a failure domain and whether
-    the servers are reclaimable.
+    `platform_contact_at` is when the latest one was answered, and `platform_down_at`
+    when one could not reach the platform, because it got no answer if
+    `platform_was_silent`. `live_hosts` includes this host. `breaks` holds the requests
+    that broke off on a server until it is known whether the server has ended.
+    `has_buckets` is true once this process has created its first buckets; all of them
+    are resized at `buckets_due_at` seconds. The keys of `scale_requests` are a service,
+    a failure domain and whether the servers are reclaimable.
     """
 
     policy: Policy
@@ -179,6 +180,8 @@
     )
     platform_up_since: float = float("-inf")
     platform_contact_at: float = float("-inf")
+    platform_down_at: float = float("-inf")
+    platform_was_silent: bool = False
     deferred: DeferredDeletions = attrs.field(factory=DeferredDeletions)
     hosts: HostsView = attrs.field(factory=HostsView)
     publishing: PublishingState = attrs.field(factory=PublishingState)
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -329,6 +329,30 @@
         reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
         self.assertNotIn("e9", list_servers(state))
 
+    # Guards against the DRAIN of lindo-enamel: a deletion was held after a long cut.
+    def test_grace_after_silence_counts_from_the_last_call_in_vain(self) -> None:
+        """The link may be back since that call began."""
+        state = build_state()
+        register_server(state)
+        for called_at, at in ((5.0, 6.0), (6.5, 7.5), (8.0, 9.0)):
+            lost = build_answer(FollowFeed(Feed.SERVERS), DOWN, at=at)
+            reduce(state, attrs.evolve(lost, called_at=called_at))
+        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=9.8)
+        self.assertIn("e9", list_servers(state))
+        reduce(state, Ticked(at=10.6, wall_time=10.6, draws=(0.0, 0.0)))
+        self.assertNotIn("e9", list_servers(state))
+
+    def test_refused_call_shows_a_platform_that_is_down(self) -> None:
+        """Then the grace counts from the first answer, as after any such outage."""
+        state = build_state()
+        register_server(state)
+        lost = build_answer(FollowFeed(Feed.SERVERS), DOWN, at=7.0)
+        reduce(state, attrs.evolve(lost, called_at=6.0))
+        apply_feed_answer(state, Feed.SERVERS, DOWN, at=8.0)
+        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=9.0)
+        reduce(state, Ticked(at=10.9, wall_time=10.9, draws=(0.0, 0.0)))
+        self.assertIn("e9", list_servers(state))
+
     def test_later_outage_keeps_earlier_deletions_no_longer(self) -> None:
         """A second outage does not extend the grace of deferred deletions."""
         state = self.build_state_after_outage()
