--- a/packages/geraniumhall-core/tests/test_path_index.py
+++ b/packages/geraniumhall-core/tests/test_path_index.py
@@ -34,7 +34,7 @@
 
     # Guards against review/3: a doubled slash hid the longest prefix.
     @seed(20261205)
-    @settings(deadline=None)
+    @settings(deadline=None, max_examples=300)
     @given(
         routes=st.lists(st.tuples(st.sampled_from(HOSTS), PREFIXES), max_size=8),
         host=st.sampled_from(HOSTS),
@@ -45,6 +45,15 @@
         host="a.example",
         path="/x/y//17",
     )
+    @example(
+        routes=[
+            ("a.example", "/x/"),
+            ("a.example", "/x/y/"),
+            ("b.example", "/x/y/xx/"),
+        ],
+        host="a.example",
+        path="/x/y//17",
+    )
     @example(routes=[("a.example", "/x/")], host="a.example", path="/x//17")
     @example(routes=[("a.example", "/x//")], host="a.example", path="/x/17")
     @example(routes=[("a.example", "/")], host="a.example", path="//")
