--- a/packages/geraniumhall-wire/src/geraniumhall_wire/json_text.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/json_text.py
@@ -8,7 +8,7 @@
 import attrs
 
 SALVAGE_DEPTH = 4  # an answer, its list, an object of that, and the object's parts
-STRING = r'"(?:[^"\\]|\\.)*+"'
+STRING = r'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 TOKEN_PATTERN = compile_pattern(rf"{STRING}|[\[{{]+|[\]}}]+|,", DOTALL)
 KEY_PATTERN = compile_pattern(rf"\s*({STRING})\s*:", DOTALL)
 OPENING, CLOSING = "[{", "]}"
