Take an object that was mended in the same answer for usable

A watch may return an unreadable version of an object and a later readable one at once. The newest counted in use, but the older stayed in the report to operators. Found by reading the change; the new test failed before.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/unusable_objects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/unusable_objects.py
@@ -18,10 +18,16 @@
     state: DaemonState, feed: Feed, answer: Listing | Changes
 ) -> Iterator[Effect]:
     """Record which objects of a feed are unusable, and log each new reason."""
-    found = {item.key: item for item in answer.unusable}
     known = state.feeds[feed].unusable
-    changed = set(known) if isinstance(answer, Listing) else _list_changed(answer)
-    for key in changed - set(found):
+    usable = answer.objects if isinstance(answer, Listing) else answer.changes
+    versions = {item.key: item.version for item in usable}
+    found = {
+        item.key: item
+        for item in answer.unusable
+        if item.key is None or item.version > versions.get(item.key, -1)
+    }
+    replaced = set(known) if isinstance(answer, Listing) else set(versions)
+    for key in replaced - set(found):
         known.pop(key, None)
     for key, item in found.items():
         if known.get(key) != item.reason:
@@ -43,10 +49,6 @@
     )
 
 
-def _list_changed(answer: Changes) -> set[ObjectKey | None]:
-    return {change.key for change in answer.changes}
-
-
 def _log_unusable(feed: Feed, item: UnusableObject) -> WriteLog:
     fields = (
         LogField("object", f"{feed.value}/{_describe_key(item.key)}"),
--- a/packages/geraniumhall-core/tests/test_unusable_objects.py
+++ b/packages/geraniumhall-core/tests/test_unusable_objects.py
@@ -141,6 +141,16 @@
                 apply_feed_answer(state, Feed.SERVERS, end)
                 self.assertEqual(read_unusable(state), ())
 
+    def test_object_that_is_readable_again_in_the_same_answer(self) -> None:
+        """Only its newest version counts, in use and in the report."""
+        readable = VersionedRecord(SERVER_KEY, 103, build_server("draft"))
+        state = build_state()
+        self.assertEqual(
+            list_logged(state, Changes(103, (readable,), (ODD_SERVER,))), []
+        )
+        self.assertEqual(read_unusable(state), ())
+        self.assertIn("e9", state.catalogue.servers)
+
     def test_unusable_objects_are_counted(self) -> None:
         """The metrics have their number."""
         state = build_state()
