--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/peers.py
@@ -36,8 +36,8 @@
 def list_lenders(state: DaemonState, now: float) -> dict[str, str]:
     """Return the addresses of at most `MAX_PEERS` hosts with shares of the limits.
 
-    A leaving host has no use for its share, but the others count it until they read
-    that it admits no more requests.
+    A leaving host has little use for its share, but the others count it until its
+    records are silent.
     """
     return _sample_addresses(state, state.list_claimants(now))
 
