--- a/packages/geraniumhall-bench/tests/test_rate_sums.py
+++ b/packages/geraniumhall-bench/tests/test_rate_sums.py
@@ -248,6 +248,12 @@
         self.assertLessEqual(fleet.find_most(SETTLE_SECONDS), ALLOWED)
         self.assertGreaterEqual(fleet.measure_use(SETTLE_SECONDS), MIN_USE)
 
+    def test_limit_is_used_by_hundreds_of_hosts(self) -> None:
+        """A share of each is less than what a request costs."""
+        fleet = self.play(195, 1, 9.0, ["stop", "kill", "pause", "lose"])
+        self.assertLessEqual(fleet.find_most(SETTLE_SECONDS), ALLOWED)
+        self.assertGreaterEqual(fleet.measure_use(SETTLE_SECONDS), MIN_USE)
+
 
 class OutageTest(unittest.TestCase):
     """After an outage of the store, hosts that were not read of yet still count."""
