--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -22,6 +22,7 @@
 
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.registry import Registry
+from geraniumhall_core.speeds import USUAL_SPEED, EngineSpeed
 
 # An engine that also decodes runs prefill at this fraction of the rate.
 MIXED_PREFILL_RATE_FACTOR = 0.5
@@ -46,7 +47,8 @@
     `requests` are in progress. `is_local` is true if the engine is in the host's
     failure domain. `cached_tokens` of the prompt are assumed in its prefix cache.
     The requests in progress take `memory_tokens` of its `memory_capacity`, also in
-    tokens; with a capacity of zero its memory never counts as full.
+    tokens; with a capacity of zero its memory never counts as full. `speed` is
+    relative to the usual speed of its service.
     """
 
     name: str
@@ -58,6 +60,7 @@
     cached_tokens: int = 0
     memory_tokens: float = 0
     memory_capacity: int = 0
+    speed: EngineSpeed = USUAL_SPEED
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -27,6 +27,9 @@
     sharing: str = "few_hosts"
     places: str = "largest_first"
     returns: str = "spread"
+    admission: str = "queue_bound"
+    speeds: str = "uniform"
+    confirmation: str = "store"
     holding: str = "repeated_crash"
     first_hold: float = 15.0
     engine_read_rate: float = 80_000.0
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -10,8 +10,10 @@
 from attrs import validators
 
 from geraniumhall_core.catalogue import EDITABLE_KINDS
+from geraniumhall_core.confirmations import CONFIRMATION_POLICIES
 from geraniumhall_core.holding import HOLD_POLICIES
 from geraniumhall_core.limits import RateTolerance
+from geraniumhall_core.overload import ADMISSION_POLICIES
 from geraniumhall_core.places import PLACE_POLICIES
 from geraniumhall_core.planning import PLANNING_POLICIES
 from geraniumhall_core.policy import Policy
@@ -21,6 +23,7 @@
 from geraniumhall_core.routing import ROUTING_POLICIES
 from geraniumhall_core.scaling import SCALING_POLICIES
 from geraniumhall_core.sharing import SHARING_POLICIES
+from geraniumhall_core.speeds import SPEED_POLICIES
 from geraniumhall_wire.converter import (
     FieldViolation,
     InvalidDataError,
@@ -148,7 +151,8 @@
     silence. Servers can't renew them during an outage of the store, so a
     registration that expired in it is kept for `lapse_grace` after it, in which
     the server may renew it. A server that leaves must get no new requests later
-    than `drain_bound` after it said so.
+    than `drain_bound` after it said so. `confirmation` decides which hosts read the
+    store themselves.
     """
 
     revocation_bound: Seconds = Seconds(5.0)
@@ -156,6 +160,9 @@
     lapse_grace: Seconds = Seconds(2.0)
     heartbeat: Seconds = Seconds(1.2)
     drain_bound: Seconds = Seconds(2.0)
+    confirmation: str = attrs.field(
+        default="store", validator=_check_registered(CONFIRMATION_POLICIES)
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -182,7 +189,9 @@
     `planning` selects among engines with a prompt cache and `policy` among
     all other servers; `scaling` decides how many servers are requested, and `sharing`
     which hosts send to a server that limits its requests and `places` which requests.
-    `returns` decides when refused callers are told to come back.
+    `returns` decides when refused callers are told to come back, and `admission` which
+    requests are refused while their servers are busy. `speeds` tells how fast each
+    engine is taken to be.
     `engine_read_rate` is the speed of a prefill-only engine in prompt tokens
     per second.
     """
@@ -205,6 +214,12 @@
     returns: str = attrs.field(
         default="spread", validator=_check_registered(RETURN_POLICIES)
     )
+    admission: str = attrs.field(
+        default="queue_bound", validator=_check_registered(ADMISSION_POLICIES)
+    )
+    speeds: str = attrs.field(
+        default="uniform", validator=_check_registered(SPEED_POLICIES)
+    )
     engine_read_rate: float = attrs.field(default=80_000.0, validator=validators.gt(0))
 
 
@@ -406,6 +421,9 @@
             sharing=self.routing.sharing,
             places=self.routing.places,
             returns=self.routing.returns,
+            admission=self.routing.admission,
+            speeds=self.routing.speeds,
+            confirmation=self.catalogue.confirmation,
             engine_read_rate=self.routing.engine_read_rate,
             holding=self.quarantine.policy,
             first_hold=self.quarantine.first_hold,
