Look for make targets in the code of pages only

The users' passage on uncontrolled clients says "you can't make steady", which test_make_targets_exist took for a target. It reads code spans and indented blocks now, and expects to find nearly every target there, so it can't pass by reading nothing.

--- a/packages/geraniumhall-cli/tests/test_first_hour.py
+++ b/packages/geraniumhall-cli/tests/test_first_hour.py
@@ -17,6 +17,7 @@
 ROOT = Path(__file__).resolve().parents[3]
 PAGES = (ROOT / "README.md", ROOT / "DEVELOPERS.md", *ROOT.glob("docs/*.md"))
 DAEMON = Path(sys.executable).parent / "geraniumhalld"
+CODE = re.compile(r"`[^`]+`|^ {4}.+$", re.MULTILINE)
 
 
 def read_make_targets() -> set[str]:
@@ -25,6 +26,11 @@
     return set(re.findall(r"^([a-z]+):", makefile, re.MULTILINE))
 
 
+def read_code(page: Path) -> str:
+    """Return the code spans and the indented blocks of a page, one a line."""
+    return "\n".join(CODE.findall(page.read_text()))
+
+
 class ExampleTest(unittest.TestCase):
     """Each example is accepted as it stands."""
 
@@ -62,12 +68,15 @@
     """Each command that a page names exists."""
 
     def test_make_targets_exist(self) -> None:
-        """Every `make` target on a page is defined in the Makefile."""
+        """Every `make` target in the code of a page is defined in the Makefile."""
         targets = read_make_targets()
+        named = 0
         for page in PAGES:
-            for target in re.findall(r"\bmake ([a-z]+)\b", page.read_text()):
+            for target in re.findall(r"\bmake ([a-z]+)\b", read_code(page)):
+                named += 1
                 with self.subTest(page=page.name, target=target):
                     self.assertIn(target, targets)
+        self.assertGreaterEqual(named, len(targets) - 1)
 
     def test_benchmarks_of_the_makefile_exist(self) -> None:
         """Every benchmark that the Makefile runs is registered."""
