Sum up load reports by failure domain

Cause: with 86 hosts a host hears the load reports of 16 others and scales them up, so it knows the work at engines badly, and a fifth of the prompts that they hold. Reports are also most of the datagrams: 86 x 16 for each change of work.

Change: `hosts.reporting: by_domain`. Hosts report to the collectors of their domain, which sum up and exchange the sums; see docs/design/summaries.md. The former rule is the baseline `sampled`; its receivers are worked out once a second now, not for each report.

Ruled out: a larger sample, gossip, reports through the store (design note).

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/__init__.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/__init__.py
@@ -22,6 +22,7 @@
     reports,
     restrictions,
     scaling,
+    summaries,
     trials,
     usage,
 )
@@ -47,6 +48,7 @@
     "reports",
     "restrictions",
     "scaling",
+    "summaries",
     "trials",
     "usage",
 ]
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -33,6 +33,7 @@
     report_restrictions,
 )
 from geraniumhall_core.handlers.scaling import reconcile_scale
+from geraniumhall_core.handlers.summaries import expire_summaries, send_summaries
 from geraniumhall_core.handlers.unusable_objects import count_unusable
 from geraniumhall_core.handlers.usage import advance_usage_sealing
 from geraniumhall_core.handlers.waiting import end_requests, expire_waiting, refuse_held
@@ -52,6 +53,8 @@
     yield from expire_grant_rounds(state, event.at, event.draws)
     yield from apply_deferred_deletions(state, event.at)
     expire_reports(state, event.at)
+    expire_summaries(state, event.at)
+    yield from send_summaries(state, event.at)
     yield from report_restrictions(state, event.at)
     yield from exchange_restrictions(state, event.at, event.draws)
     refresh_buckets(state, event.at)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -177,6 +177,7 @@
         sequence=state.publishing.sequence,
         published_at=round(wall_time, 3),
         peer_address=state.policy.peer_address,
+        link_rate=state.policy.link_rate,
         is_leaving=state.is_draining,
         demands=tuple(
             Demand(
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
@@ -4,8 +4,13 @@
 
 from geraniumhall_core.effects import SendToPeers
 from geraniumhall_core.events import PeerMessageReceived
-from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS, list_peers
+from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS
 from geraniumhall_core.handlers.placement import add_prompt_use, forget_removed_engines
+from geraniumhall_core.handlers.summaries import (
+    list_receivers,
+    note_own_report,
+    note_report,
+)
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_core.state import DaemonState
@@ -22,6 +27,7 @@
 ) -> Iterator[Effect]:
     """Store the load report of another host, and the prompts that it sent."""
     state.reports.update(message, event.at)
+    note_report(state, message, event.at)
     for use in message.uses:
         add_prompt_use(state, use)
     yield from ()
@@ -44,7 +50,8 @@
     reporting.is_dirty = False
     reporting.sequence += 1
     report = _build_load_report(state)
-    peers = tuple(list_peers(state, now).values())
+    note_own_report(state, report)
+    peers = list_receivers(state, now)
     if peers:
         yield SendToPeers(addresses=peers, message=report)
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -34,7 +34,7 @@
             LogField("own_waiting", load.prefill_tokens),
             LogField("foreign_waiting", foreign.prompt_tokens),
             LogField("running", load.outstanding + foreign.requests),
-            LogField("reporting_hosts", len(state.reports.latest)),
+            LogField("reporting_hosts", state.count_reporting_hosts()),
             LogField("other_hosts", state.live_hosts - 1),
             LogField("waited", round(now - record.arrived_at, 4)),
             LogField("expected", round(placement.expected_seconds, 4)),
--- a/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
@@ -32,7 +32,8 @@
 
     `published_at` is in seconds since the epoch, by the clock of the daemon's host.
     `peer_address` receives messages of other hosts; it is empty if the daemon
-    does not listen for them.
+    does not listen for them. `link_rate` is that of the host's network link in megabits
+    a second, zero if unknown.
     """
 
     failure_domain: str
@@ -40,6 +41,7 @@
     sequence: int
     published_at: float = 0.0
     peer_address: str = ""
+    link_rate: float = 0.0
     is_leaving: bool = False
     demands: tuple[Demand, ...] = ()
     usage: tuple[WindowUsage, ...] = ()
--- a/packages/geraniumhall-core/src/geraniumhall_core/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peers.py
@@ -7,6 +7,7 @@
 from geraniumhall_core.parts import PartReport
 from geraniumhall_core.reports import LoadReport
 from geraniumhall_core.restrictions import Grant, GrantRequest, RestrictionReport
+from geraniumhall_core.summaries import WorkSummary
 
 PeerMessage = (
     LoadReport
@@ -16,4 +17,5 @@
     | RestrictionReport
     | GrantRequest
     | Grant
+    | WorkSummary
 )
--- a/packages/geraniumhall-core/src/geraniumhall_core/policy.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/policy.py
@@ -30,6 +30,8 @@
     admission: str = "queue_bound"
     speeds: str = "uniform"
     confirmation: str = "store"
+    reporting: str = "sampled"
+    link_rate: float = 0.0
     holding: str = "repeated_crash"
     first_hold: float = 15.0
     engine_read_rate: float = 80_000.0
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -24,6 +24,7 @@
 from geraniumhall_core.retries import RetryBudget
 from geraniumhall_core.scaling import ScaleRequest
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork, ServerLoad
+from geraniumhall_core.summaries import CollectingState
 from geraniumhall_core.usage import UsageLedger, UsageSeals
 
 # At the default interval of 1.5 s, 40 hosts write 27 records a second in all.
@@ -188,6 +189,7 @@
     foreign_demand: ForeignDemand = attrs.field(factory=ForeignDemand)
     reports: ReportsView = attrs.field(factory=ReportsView)
     reporting: ReportingState = attrs.field(factory=ReportingState)
+    collecting: CollectingState = attrs.field(factory=CollectingState)
     live_hosts: int = 1
     demand_meters: dict[str, DemandMeter] = attrs.field(factory=dict)
     buckets: dict[str, TokenBucket] = attrs.field(factory=dict)
@@ -299,15 +301,24 @@
     def estimate_foreign_work(self, server: str) -> ForeignWork:
         """Estimate the work of all other hosts at a backend server.
 
-        Hosts whose reports are missing are assumed to have as much work as those
-        that reported.
+        A summary of all hosts tells it. Without one it is estimated from reports:
+        hosts whose reports are missing are assumed to have as much work as those that
+        reported.
         """
+        if self.collecting.total.hosts:
+            return self.collecting.estimate_work(server)
         reported = self.reports.totals.get(server)
         if reported is None:
             return NO_FOREIGN_WORK
         others = max(self.live_hosts - 1, len(self.reports.latest))
         return reported.scale(others / max(1, len(self.reports.latest)))
 
+    def count_reporting_hosts(self) -> int:
+        """Return from how many other hosts the work at servers is known."""
+        if self.collecting.total.hosts:
+            return self.collecting.total.hosts - 1
+        return len(self.reports.latest)
+
     def compute_connection_share(self, server: str) -> int | None:
         """Return this host's connection limit to a backend server, None if unlimited.
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -26,6 +26,7 @@
     ReportedLimit,
     RestrictionReport,
 )
+from geraniumhall_core.summaries import WorkSummary
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
 from geraniumhall_wire.notices import MAX_REQUEST_LIMIT
 
@@ -38,6 +39,7 @@
     RestrictionReport: "limits",
     GrantRequest: "ask_token",
     Grant: "token",
+    WorkSummary: "sum",
 }
 
 MAX_NUMBER = 2**53  # of a statement; hosts count on from what they have heard
@@ -82,10 +84,24 @@
         host=str(host),
         incarnation=int(incarnation),
         sequence=int(sequence),
-        work=tuple(
-            ServerWork(str(server), int(requests), int(prompt), int(memory))
-            for server, requests, prompt, memory in work
-        ),
+        work=_decode_work(work),
+        uses=tuple(_decode_use(server, parts) for server, parts in uses),
+    )
+
+
+@MESSAGE_DECODERS.register("sum")
+def decode_work_summary(fields: list[Any]) -> WorkSummary:
+    """Decode a part of a summary of hosts' work."""
+    host, incarnation, sequence, domain, hosts, index, count, work, uses = fields
+    return WorkSummary(
+        host=str(host),
+        incarnation=int(incarnation),
+        sequence=int(sequence),
+        failure_domain=str(domain),
+        hosts=_parse_tokens(hosts),
+        index=_parse_tokens(index),
+        count=_parse_tokens(count),
+        work=_decode_work(work),
         uses=tuple(_decode_use(server, parts) for server, parts in uses),
     )
 
@@ -205,6 +221,13 @@
     )
 
 
+def _decode_work(work: Any) -> tuple[ServerWork, ...]:
+    return tuple(
+        ServerWork(str(server), int(requests), int(prompt), int(memory))
+        for server, requests, prompt, memory in work
+    )
+
+
 def _decode_use(server: Any, parts: Any) -> PromptUse:
     uses = tuple(PartUse(int(key), _parse_tokens(tokens)) for key, tokens in parts)
     return PromptUse(str(server), uses)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -24,6 +24,7 @@
 from geraniumhall_core.scaling import SCALING_POLICIES
 from geraniumhall_core.sharing import SHARING_POLICIES
 from geraniumhall_core.speeds import SPEED_POLICIES
+from geraniumhall_core.summaries import REPORTING_POLICIES
 from geraniumhall_wire.converter import (
     FieldViolation,
     InvalidDataError,
@@ -172,7 +173,10 @@
     Each host writes its record to the store every `publish_interval`, or less
     often with many hosts. A host whose record has not changed for `silence` is
     considered down. `listen` is the UDP address for messages between hosts,
-    which may be lost; if it is empty, this host sends and receives none.
+    which may be lost; if it is empty, this host sends and receives none. `reporting`
+    decides who gets this host's reports on its work at servers. `link_rate` is that of
+    the host's network link in megabits a second, zero if unknown; hosts with fast links
+    collect reports.
     """
 
     listen: str = ""
@@ -180,6 +184,10 @@
         default=Seconds(1.5), validator=validators.gt(Seconds(0))
     )
     silence: Seconds = Seconds(6.0)
+    reporting: str = attrs.field(
+        default="sampled", validator=_check_registered(REPORTING_POLICIES)
+    )
+    link_rate: float = attrs.field(default=0.0, validator=validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
@@ -424,6 +432,8 @@
             admission=self.routing.admission,
             speeds=self.routing.speeds,
             confirmation=self.catalogue.confirmation,
+            reporting=self.hosts.reporting,
+            link_rate=self.hosts.link_rate,
             engine_read_rate=self.routing.engine_read_rate,
             holding=self.quarantine.policy,
             first_hold=self.quarantine.first_hold,
--- a/packages/geraniumhall-wire/tests/test_peers.py
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -18,6 +18,7 @@
     ReportedLimit,
     RestrictionReport,
 )
+from geraniumhall_core.summaries import WorkSummary
 from geraniumhall_wire.converter import InvalidDataError
 from geraniumhall_wire.peers import (
     MESSAGE_NAMES,
@@ -35,6 +36,17 @@
         sequence=2,
         uses=(PromptUse("e1", (PartUse(7, 900), PartUse(2**32 - 1, 40))),),
     ),
+    WorkSummary(
+        host="h1",
+        incarnation=7 << 40,
+        sequence=3,
+        failure_domain="a",
+        hosts=28,
+        index=1,
+        count=2,
+        work=WORK,
+        uses=(PromptUse("e1", (PartUse(7, 900),)),),
+    ),
     LoanRequest(
         host="h1", address="10.0.0.1:7", workspace="audit", amount=5.5, number=2
     ),
