--- a/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/routes.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/benchmarks/routes.py
@@ -12,6 +12,7 @@
     apply_changes,
 )
 from geraniumhall_core.records import VersionedRecord
+from geraniumhall_core.revisions import Revision
 
 ROUTE_COUNTS = (10, 1_000, 10_000)
 LOOKUPS_PER_ROUND = 20
@@ -50,7 +51,8 @@
     }
     catalogue = Catalogue()
     configuration = Configuration(version=1, entries=entries)
-    apply_changes(catalogue, [VersionedRecord(CONFIGURATION_KEY, 1, configuration)])
+    item = VersionedRecord(CONFIGURATION_KEY, Revision(number=1), configuration)
+    apply_changes(catalogue, [item])
     return catalogue
 
 
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/standins/platform.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/standins/platform.py
@@ -10,6 +10,7 @@
 from geraniumhall_bench.standins.model import (
     BEHAVIOURS,
     CLOCK_HANDLERS,
+    CONTROLS,
     JSON_HEADERS,
     MODELS,
     CallArrived,
@@ -45,13 +46,17 @@
     CallReceived,
     ClockAdvanced,
     PlatformState,
+    StoreCopied,
+    StoreRewound,
 )
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.registry import Registry
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.usage import UsageFigures, UsageLine
 
 OBJECTS_PATH = "/geraniumhall/objects/"
+ERA_HEADER = b"store-era"
 FEEDS_BY_PATH = {
     "config": Feed.CONFIGURATION,
     "servers": Feed.SERVERS,
@@ -100,14 +105,31 @@
         yield Reply.from_json(event.call_id, 400, {"error": str(error)})
         return
     call = CallReceived(at=event.at, call_id=event.call_id, message=message)
-    yield from _encode(PLATFORM.reduce(state.model.platform, call))
+    yield from _encode(
+        state.model.platform, PLATFORM.reduce(state.model.platform, call)
+    )
 
 
 @CLOCK_HANDLERS.register("platform")
 def advance_platform(state: StandInState, event: TimePassed) -> Iterator[Reply]:
     """Answer the watches whose wait has ended."""
     advanced = ClockAdvanced(at=event.at)
-    yield from _encode(PLATFORM.reduce(state.model.platform, advanced))
+    effects = PLATFORM.reduce(state.model.platform, advanced)
+    yield from _encode(state.model.platform, effects)
+
+
+@CONTROLS.register("copy")
+def copy_store(state: StandInState, event: CallArrived) -> Any:
+    """Make the copy from which a rewind brings the store back."""
+    PLATFORM.reduce(state.model.platform, StoreCopied(at=event.at))
+    return {"revision": state.model.platform.revision.number}
+
+
+@CONTROLS.register("rewind")
+def rewind_store(state: StandInState, event: CallArrived) -> Any:
+    """Bring the store back from its copy; return the era and revision then."""
+    PLATFORM.reduce(state.model.platform, StoreRewound(at=event.at))
+    return attrs.asdict(state.model.platform.revision)
 
 
 def _parse_call(event: CallArrived) -> PlatformMessage:
@@ -123,16 +145,17 @@
         if "watch" not in query:
             return ListObjects(feed)
         wait = int(query.get("wait_ms", "0")) / MILLISECONDS_PER_SECOND
-        return WatchObjects(feed, int(query["watch"]), wait)
+        return WatchObjects(feed, Revision(number=int(query["watch"])), wait)
     if event.head.method == b"GET":
         return GetObject(_build_key(feed, unquote(name)))
     if event.head.method == b"DELETE":
         key = _build_key(feed, unquote(name))
-        return DeleteObject(key, int(query["revision"]))
+        return DeleteObject(key, Revision(number=int(query["revision"])))
     data = loads(event.body)
     metadata = data["metadata"]
     key = _build_key(feed, str(metadata["name"]))
-    return PutObject(key, data["spec"], int(metadata.get("revision", 0)))
+    expected = Revision(number=int(metadata.get("revision", 0)))
+    return PutObject(key, data["spec"], expected)
 
 
 def _parse_usage(event: CallArrived) -> ReportUsage:
@@ -166,14 +189,18 @@
     return ObjectKey(RECORD_KINDS_BY_FEED.get(feed, "record"), name)
 
 
-def _encode(effects: tuple[Effect, ...]) -> Iterator[Reply]:
+def _encode(platform: PlatformState, effects: tuple[Effect, ...]) -> Iterator[Reply]:
+    """Encode answers; a store in era zero is one that states no era."""
+    headers, era = JSON_HEADERS, platform.revision.era
+    if era:
+        headers = (*headers, (ERA_HEADER, str(era).encode()))
     for effect in effects:
         assert isinstance(effect, AnswerCall)
         encoder = ANSWER_ENCODERS.find(type(effect.answer))
         status, data = encoder(effect.answer)
         body = dumps(data).encode()
         yield Reply(
-            call_id=effect.call_id, status=status, headers=JSON_HEADERS, chunks=(body,)
+            call_id=effect.call_id, status=status, headers=headers, chunks=(body,)
         )
 
 
@@ -192,7 +219,7 @@
 @ANSWER_ENCODERS.register(Written)
 def encode_written(answer: Written) -> tuple[int, Any]:
     """Encode a write that took effect."""
-    return 200, {"metadata": {"revision": answer.version}}
+    return 200, {"metadata": {"revision": answer.version.number}}
 
 
 @ANSWER_ENCODERS.register(Conflict)
@@ -210,7 +237,11 @@
 def encode_listing(answer: Listing) -> tuple[int, Any]:
     """Encode all objects of a feed as a single page."""
     items = [_encode_object(item) for item in answer.objects]
-    return 200, {"items": items, "more_pages": False, "current_rev": answer.revision}
+    return 200, {
+        "items": items,
+        "more_pages": False,
+        "current_rev": answer.revision.number,
+    }
 
 
 @ANSWER_ENCODERS.register(Changes)
@@ -220,7 +251,7 @@
         {"tombstone": item.record is DELETED, "object": _encode_object(item)}
         for item in answer.changes
     ]
-    return 200, {"events": events, "current_rev": answer.revision}
+    return 200, {"events": events, "current_rev": answer.revision.number}
 
 
 @ANSWER_ENCODERS.register(HistoryGone)
@@ -250,8 +281,8 @@
 def _encode_object(item: VersionedRecord) -> dict[str, Any]:
     metadata = {
         "name": item.key.name,
-        "revision": item.version,
-        "created": item.version,
+        "revision": item.version.number,
+        "created": item.version.number,
         "finalizers": [],
         "deleting": False,
     }
--- a/packages/geraniumhall-bench/tests/test_authority.py
+++ b/packages/geraniumhall-bench/tests/test_authority.py
@@ -25,6 +25,7 @@
 from geraniumhall_core.purposes import SEALS_KEY
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.requests import CallerRequest, ModelTarget
+from geraniumhall_core.revisions import NO_REVISION
 
 JOIN_SECONDS = 6.0
 TTL_SECONDS = 3.0
@@ -46,7 +47,7 @@
     for name in WORKSPACES:
         workspace = Workspace(rate=1e6, burst=1e6)
         cluster.call_admin(
-            "h0", WriteRecord(ObjectKey("workspace", name), workspace, 0)
+            "h0", WriteRecord(ObjectKey("workspace", name), workspace, NO_REVISION)
         )
         cluster.run_for(1.0)
         entry = CatalogueEntry(
@@ -55,11 +56,13 @@
             open_to_all=True,
             repeatable=True,
         )
-        cluster.call_admin("h0", WriteRecord(ObjectKey("entry", name), entry, 0))
+        cluster.call_admin(
+            "h0", WriteRecord(ObjectKey("entry", name), entry, NO_REVISION)
+        )
     server = BackendServer(
         address="10.0.0.1:80", failure_domain="a", entries=WORKSPACES
     )
-    cluster.call_admin("h0", WriteRecord(ObjectKey("server", "e"), server, 0))
+    cluster.call_admin("h0", WriteRecord(ObjectKey("server", "e"), server, NO_REVISION))
     cluster.run_for(JOIN_SECONDS)
     return cluster
 
--- a/packages/geraniumhall-bench/tests/test_cuts.py
+++ b/packages/geraniumhall-bench/tests/test_cuts.py
@@ -26,7 +26,7 @@
 
 def write(cluster: SimulatedCluster, kind: str, name: str, record: object) -> None:
     """Write a record to the store, as others than hosts do."""
-    cluster.platform.revision += 1
+    cluster.platform.revision = cluster.platform.revision.advance()
     key = ObjectKey(kind, name)
     version = cluster.platform.revision
     cluster.platform.objects[key] = VersionedRecord(key, version, record)
--- a/packages/geraniumhall-bench/tests/test_duties.py
+++ b/packages/geraniumhall-bench/tests/test_duties.py
@@ -17,6 +17,7 @@
 from geraniumhall_core.handlers.leases import find_held_term
 from geraniumhall_core.platform import DutyMessage, ScaleService
 from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.revisions import NO_REVISION
 
 JOIN_SECONDS = 6.0
 TTL_SECONDS = 3.0
@@ -39,10 +40,14 @@
         cluster.start(name, **POLICY | {"checks_fencing": checks_fencing})
     cluster.run_for(JOIN_SECONDS)
     workspace = Workspace(rate=1e6, burst=1e6)
-    cluster.call_admin("h0", WriteRecord(ObjectKey("workspace", "audit"), workspace, 0))
+    cluster.call_admin(
+        "h0", WriteRecord(ObjectKey("workspace", "audit"), workspace, NO_REVISION)
+    )
     cluster.run_for(1.0)
     entry = CatalogueEntry(owner="audit", service_class=ServiceClass.MODEL)
-    cluster.call_admin("h0", WriteRecord(ObjectKey("entry", "audit"), entry, 0))
+    cluster.call_admin(
+        "h0", WriteRecord(ObjectKey("entry", "audit"), entry, NO_REVISION)
+    )
     cluster.run_for(JOIN_SECONDS)
     return cluster
 
--- a/packages/geraniumhall-bench/tests/test_orders.py
+++ b/packages/geraniumhall-bench/tests/test_orders.py
@@ -19,6 +19,7 @@
 from geraniumhall_core.handlers.leases import find_held_term
 from geraniumhall_core.orders import DesiredRole, IntentStatus, ServerRole
 from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.revisions import NO_REVISION
 
 SERVERS = {"fenced": True, "unfenced": False}
 SETTLE_SECONDS = 8.0
@@ -33,9 +34,13 @@
     for name in HOST_NAMES:
         cluster.start(name, **POLICY)
     cluster.run_for(SETTLE_SECONDS)
-    cluster.call_admin("h0", WriteRecord(ObjectKey("workspace", "audit"), OWNER, 0))
+    cluster.call_admin(
+        "h0", WriteRecord(ObjectKey("workspace", "audit"), OWNER, NO_REVISION)
+    )
     cluster.run_for(0.1)
-    cluster.call_admin("h0", WriteRecord(ObjectKey("entry", "draft"), ENTRY, 0))
+    cluster.call_admin(
+        "h0", WriteRecord(ObjectKey("entry", "draft"), ENTRY, NO_REVISION)
+    )
     for name, checks_fencing in SERVERS.items():
         server = BackendServer(
             address="10.0.0.1:80",
@@ -43,7 +48,9 @@
             entries=(),
             checks_fencing=checks_fencing,
         )
-        cluster.call_admin("h0", WriteRecord(ObjectKey("server", name), server, 0))
+        cluster.call_admin(
+            "h0", WriteRecord(ObjectKey("server", name), server, NO_REVISION)
+        )
         cluster.run_for(0.1)
         request_role(cluster, "h0", name, ServerRole.BOTH)
     cluster.run_for(SETTLE_SECONDS)
@@ -56,7 +63,7 @@
     """Request a role for a server through a daemon's admin API."""
     key = ObjectKey("wish", server)
     found = cluster.platform.objects.get(key)
-    version = found.version if found else 0
+    version = found.version if found else NO_REVISION
     cluster.call_admin(via, WriteRecord(key, DesiredRole(role=role), version))
 
 
--- a/packages/geraniumhall-bench/tests/test_quarantine.py
+++ b/packages/geraniumhall-bench/tests/test_quarantine.py
@@ -9,6 +9,7 @@
 from geraniumhall_core.catalogue import BackendServer, CatalogueEntry, ServiceClass
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.requests import CallerRequest, ModelTarget, PromptPart
+from geraniumhall_core.revisions import Revision
 
 DEADLY = "deadly"
 CONTACT_SECONDS = 3.0
@@ -74,8 +75,10 @@
             address=f"e{number}:80", failure_domain="a", entries=("draft",)
         )
     for version, (key, record) in enumerate(records.items(), 1):
-        cluster.platform.objects[key] = VersionedRecord(key, version, record)
-        cluster.platform.revision = version
+        cluster.platform.objects[key] = VersionedRecord(
+            key, Revision(number=version), record
+        )
+        cluster.platform.revision = Revision(number=version)
     for number in range(hosts):
         cluster.start(f"h{number}", **POLICY)
     cluster.run_for(SETTLE_SECONDS)
--- a/packages/geraniumhall-bench/tests/test_rate_sums.py
+++ b/packages/geraniumhall-bench/tests/test_rate_sums.py
@@ -26,6 +26,7 @@
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.requests import CallerRequest, ModelTarget
+from geraniumhall_core.revisions import Revision
 
 WINDOW_SECONDS = 8.0
 RATE = 30_000.0  # tokens a second
@@ -75,8 +76,10 @@
         """Return hosts that know of each other and of the workspace's demand."""
         cluster = SimulatedCluster(Random(seed), service_seconds=4.0)
         for version, (key, record) in enumerate(RECORDS.items(), 1):
-            cluster.platform.objects[key] = VersionedRecord(key, version, record)
-            cluster.platform.revision = version
+            cluster.platform.objects[key] = VersionedRecord(
+                key, Revision(number=version), record
+            )
+            cluster.platform.revision = Revision(number=version)
         for number in range(hosts):
             cluster.start(f"h{number}", **POLICY)
         fleet = cls(cluster)
--- a/packages/geraniumhall-core/src/geraniumhall_core/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/admin.py
@@ -6,6 +6,7 @@
 
 from geraniumhall_core.platform import PlatformAnswer
 from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.revisions import Revision
 
 
 @attrs.frozen
@@ -33,7 +34,7 @@
 
     key: ObjectKey
     record: Any
-    expected_version: int
+    expected_version: Revision
 
 
 @attrs.frozen
@@ -41,7 +42,7 @@
     """Delete a catalogue record if its version is `expected_version`."""
 
     key: ObjectKey
-    expected_version: int
+    expected_version: Revision
 
 
 @attrs.frozen
--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -21,6 +21,7 @@
 from geraniumhall_core.parts import PART_KIND
 from geraniumhall_core.path_index import PathIndex
 from geraniumhall_core.records import DELETED, RECORD_KINDS, ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import NO_REVISION, Revision
 
 CONFIGURATION_KIND = "configuration"
 REGISTERED_SERVER_KIND = "registered_server"
@@ -245,7 +246,7 @@
     tables: dict[str, dict[str, Any]] = attrs.field(
         factory=lambda: {kind: {} for kind in CATALOGUE_KINDS}
     )
-    versions: dict[ObjectKey, int] = attrs.field(factory=dict)
+    versions: dict[ObjectKey, Revision] = attrs.field(factory=dict)
     entries: dict[str, CatalogueEntry] = attrs.field(factory=dict)
     workspaces: dict[str, Workspace] = attrs.field(factory=dict)
     keys: dict[str, KeyRecord] = attrs.field(factory=dict)
@@ -282,7 +283,7 @@
 def infer_deletions(
     catalogue: Catalogue,
     kinds: tuple[str, ...],
-    revision: int,
+    revision: Revision,
     listed: Collection[ObjectKey],
 ) -> list[VersionedRecord]:
     """Return the deletions implied by a full listing of `kinds` at `revision`.
@@ -309,7 +310,7 @@
 def _apply_change(catalogue: Catalogue, item: VersionedRecord) -> bool:
     if item.key.kind not in catalogue.tables:
         return False
-    if catalogue.versions.get(item.key, 0) >= item.version:
+    if catalogue.versions.get(item.key, NO_REVISION) >= item.version:
         return False
     catalogue.versions[item.key] = item.version
     table = catalogue.tables[item.key.kind]
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -10,6 +10,7 @@
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import Refusal
 from geraniumhall_core.requests import KvCacheRef
+from geraniumhall_core.revisions import Revision
 
 
 @attrs.frozen(kw_only=True)
@@ -134,7 +135,7 @@
     server: str
     address: str
     intent: OrderIntent
-    version: int
+    version: Revision
     timeout: float
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -16,6 +16,7 @@
 from geraniumhall_core.purposes import Purpose
 from geraniumhall_core.reducer import Event
 from geraniumhall_core.requests import AttemptOutcome, CallerRequest, KvCacheRef
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.verdict import Verdict
 
 
@@ -140,7 +141,7 @@
 
     server: str
     intent: OrderIntent
-    version: int
+    version: Revision
     outcome: OrderOutcome
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/edits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/edits.py
@@ -23,6 +23,7 @@
 from geraniumhall_core.purposes import ConfirmEdit, ServeAdmin
 from geraniumhall_core.records import DELETED, VersionedRecord
 from geraniumhall_core.reducer import Effect
+from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -83,7 +84,10 @@
     """
     message = purpose.message
     is_gone = isinstance(event.answer, ObjectMissing)
-    is_applied = state.catalogue.versions.get(message.key, 0) > message.expected_version
+    is_applied = (
+        state.catalogue.versions.get(message.key, NO_REVISION)
+        > message.expected_version
+    )
     if is_gone and not is_applied and purpose.attempt < MAX_READ_BACKS:
         yield _read_back(purpose.call_id, message, purpose.attempt + 1)
         return
@@ -125,7 +129,7 @@
 def _resolve_edit(
     found: PlatformAnswer, message: PutObject | DeleteObject, state: DaemonState
 ) -> PlatformAnswer:
-    version = state.catalogue.versions.get(message.key, 0)
+    version = state.catalogue.versions.get(message.key, NO_REVISION)
     is_gone = isinstance(found, ObjectMissing) and isinstance(message, DeleteObject)
     if is_gone and version > message.expected_version:
         return Written(version)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -47,6 +47,7 @@
 from geraniumhall_core.records import DELETED, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.retries import compute_backoff
+from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState, FeedState
 
 CONFIGURATION_WAIT_FACTOR = 2.0
@@ -124,7 +125,7 @@
 def _request_feed(state: DaemonState, feed: Feed, delay: float = 0.0) -> CallPlatform:
     message: PlatformMessage = ListObjects(feed)
     revision, wait = state.feeds[feed].revision, 0.0
-    if revision:
+    if revision != NO_REVISION:
         wait = _choose_watch_wait(state, feed)
         message = WatchObjects(feed, revision, wait)
     return CallPlatform(purpose=FollowFeed(feed, wait), message=message, delay=delay)
@@ -183,7 +184,7 @@
     state: DaemonState, feed: Feed, feed_state: FeedState, event: PlatformAnswered
 ) -> Iterator[Effect]:
     if isinstance(event.answer, HistoryGone):
-        feed_state.revision = 0
+        feed_state.revision = NO_REVISION
         yield _log_feed("info", "feed_history_gone", feed)
         yield _request_feed(state, feed)
         return
@@ -271,7 +272,8 @@
         level="info",
         event="catalogue_applied",
         fields=(
-            LogField("revision", newest),
+            LogField("era", newest.era),
+            LogField("revision", newest.number),
             LogField("changes", len(applied)),
             LogField("configuration", _find_configuration_version(state)),
             LogField("servers", len(state.catalogue.servers)),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -19,6 +19,7 @@
 from geraniumhall_core.purposes import LEASE_KEY, MaintainLease, ReleaseLease
 from geraniumhall_core.records import DELETED, VersionedRecord
 from geraniumhall_core.reducer import Effect
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 
 MAX_CANDIDATES = 2
@@ -182,12 +183,14 @@
     return waited >= policy.lease_ttl + policy.lease_margin
 
 
-def _mark_held(state: DaemonState, version: int, record: Lease) -> Iterator[Effect]:
+def _mark_held(
+    state: DaemonState, version: Revision, record: Lease
+) -> Iterator[Effect]:
     lease = state.lease
     is_new = lease.term != record.term
     lease.confirm_write(version, record, state.policy.lease_ttl)
     if is_new:
-        fields = (LogField("term", record.term), LogField("version", version))
+        fields = (LogField("term", record.term), LogField("version", version.number))
         yield WriteLog(level="info", event="lease_taken", fields=fields)
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/orders.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/orders.py
@@ -29,6 +29,7 @@
 from geraniumhall_core.purposes import ReadIntent, RecordOutcome, WriteIntent
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
+from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_core.state import DaemonState
 
 ORDER_INTERVAL_SECONDS = 2.0
@@ -71,7 +72,7 @@
     if term is None or desired is None:
         return
     if isinstance(event.answer, ObjectMissing):
-        yield from _start_order(state, purpose.server, desired, term, None, 0)
+        yield from _start_order(state, purpose.server, desired, term, None, NO_REVISION)
     elif isinstance(event.answer, ObjectFound):
         found = event.answer.object
         yield from _reconcile_intent(
@@ -165,7 +166,7 @@
     desired: DesiredRole,
     term: int,
     previous: OrderIntent | None,
-    version: int,
+    version: Revision,
 ) -> Iterator[Effect]:
     intent = OrderIntent(
         role=desired.role,
@@ -179,7 +180,7 @@
 
 
 def _send_intent(
-    state: DaemonState, server: str, intent: OrderIntent, version: int, now: float
+    state: DaemonState, server: str, intent: OrderIntent, version: Revision, now: float
 ) -> Iterator[Effect]:
     """Send an order; one to a server that takes no request now is sent later."""
     record = state.catalogue.servers.get(server)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/part_records.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/part_records.py
@@ -24,6 +24,7 @@
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.requests import RequestRecord
+from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState
 
 WRITE_RETRY_SECONDS = 0.5
@@ -38,7 +39,7 @@
     The store accepts the claim of one host only.
     """
     known = state.quarantine.parts[part]
-    if known.hold is None or known.get_wait(now) != 0.0 or not known.version:
+    if known.hold is None or known.get_wait(now) != 0.0 or known.version == NO_REVISION:
         return None
     if known.is_writing or state.compute_catalogue_age(now) > state.policy.stale_after:
         return None
@@ -80,7 +81,7 @@
     if change.version <= known.version:
         return
     if change.record is DELETED:
-        known.version = 0
+        known.version = NO_REVISION
         if not known.is_dirty:
             yield from _apply_deletion(known, part, now)
         return
@@ -132,7 +133,7 @@
     """Write the records of parts that are due, and drop old evidence."""
     for part in state.quarantine.list_outdated(state.policy.host, now):
         known = state.quarantine.parts[part]
-        if known.version:
+        if known.version != NO_REVISION:
             known.forget(now)
             known.is_dirty = True
         elif not known.is_writing:
@@ -150,7 +151,11 @@
     not have read it yet.
     """
     stored = state.catalogue.tables[PART_KIND].get(part)
-    if stored is None or known.build_record() is not None or not known.version:
+    if (
+        stored is None
+        or known.build_record() is not None
+        or known.version == NO_REVISION
+    ):
         return False
     return any(crash.host == state.policy.host for crash in stored.crashes)
 
@@ -164,7 +169,7 @@
         return
     record = known.build_record()
     key = ObjectKey(PART_KIND, part)
-    if record is None and not known.version:
+    if record is None and known.version == NO_REVISION:
         known.is_dirty = False
         return
     message: PlatformMessage = DeleteObject(key, known.version)
@@ -201,7 +206,7 @@
     known = state.quarantine.parts[part]
     current = conflict.current
     known.record_stored(
-        current.version if current else 0, current.record if current else None
+        current.version if current else NO_REVISION, current.record if current else None
     )
     if current is not None and _merge_record(known, current.record, now):
         yield log_hold(part, known, "the store's record", now)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -15,6 +15,7 @@
 from geraniumhall_core.purposes import SEALS_KEY, PublishHost
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
+from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState
 
 HOST_KIND = "host"
@@ -87,7 +88,7 @@
         publishing.confirm(event.at, state.policy.stale_after)
     elif isinstance(event.answer, Conflict):
         current = event.answer.current
-        publishing.version = current.version if current else 0
+        publishing.version = current.version if current else NO_REVISION
         publishing.next_call_at = event.at
     yield from ()
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/unusable_objects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/unusable_objects.py
@@ -24,7 +24,7 @@
     found = {
         item.key: item
         for item in answer.unusable
-        if item.key is None or item.version > versions.get(item.key, -1)
+        if item.key not in versions or item.version > versions[item.key]
     }
     replaced = set(known) if isinstance(answer, Listing) else set(versions)
     for key in replaced - set(found):
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
@@ -33,6 +33,7 @@
     SealWindow,
 )
 from geraniumhall_core.reducer import Effect
+from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState, SealingState
 from geraniumhall_core.usage import WINDOWS_KEPT, UsageSeals, WindowUsage, sum_windows
 
@@ -87,7 +88,7 @@
         sealing.version = event.answer.object.version
     elif isinstance(event.answer, ObjectMissing):
         sealing.seals = UsageSeals()
-        sealing.version = 0
+        sealing.version = NO_REVISION
     else:
         sealing.next_call_at = event.at + RETRY_SECONDS
     yield from ()
--- a/packages/geraniumhall-core/src/geraniumhall_core/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/leases.py
@@ -10,6 +10,7 @@
 import attrs
 
 from geraniumhall_core.records import RECORD_KINDS, VersionedRecord
+from geraniumhall_core.revisions import NO_REVISION, Revision
 
 
 @RECORD_KINDS.register("lease")
@@ -39,7 +40,7 @@
     not compete for the lease until `cooldown_until`.
     """
 
-    version: int = 0
+    version: Revision = NO_REVISION
     record: Lease | None = None
     first_seen_at: float = float("-inf")
     written_at: dict[int, float] = attrs.field(factory=dict)
@@ -53,13 +54,13 @@
 
     def observe(self, current: VersionedRecord | None, now: float) -> None:
         """Update the view with the object that the platform holds, None if absent."""
-        version = current.version if current else 0
+        version = current.version if current else NO_REVISION
         if version != self.version or self.record is None:
             self.first_seen_at = now
         self.version = version
         self.record = current.record if current else None
 
-    def confirm_write(self, version: int, record: Lease, ttl: float) -> None:
+    def confirm_write(self, version: Revision, record: Lease, ttl: float) -> None:
         """Hold the lease until `ttl` seconds after the own write `record` was sent.
 
         The TTL counts from that write, not from a later one that did not take
--- a/packages/geraniumhall-core/src/geraniumhall_core/parts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/parts.py
@@ -12,6 +12,7 @@
 
 from geraniumhall_core.records import RECORD_KINDS
 from geraniumhall_core.requests import CallerRequest
+from geraniumhall_core.revisions import NO_REVISION, Revision
 
 PART_KIND = "part"
 FORGET_SECONDS = 60.0
@@ -119,7 +120,7 @@
     heard_at: float = float("-inf")
     held_at: float = float("-inf")
     changed_at: float = float("-inf")
-    version: int = 0
+    version: Revision = NO_REVISION
     stored_hold: int = 0
     is_dirty: bool = False
     is_writing: bool = False
@@ -206,16 +207,16 @@
             return float("inf")
         lifetime = FORGET_SECONDS if self.hold is None else FORGET_HOLD_SECONDS
         is_own = any(crash.host == host for crash in self.crashes.values())
-        return lifetime if is_own or not self.version else 2 * lifetime
+        return lifetime if is_own or self.version == NO_REVISION else 2 * lifetime
 
     def forget(self, now: float) -> None:
         """Clear everything that is known."""
         number = self.hold.number if self.hold else 0
         self.clear(list(self.crashes), number, now)
 
-    def record_stored(self, version: int, record: PartRecord | None) -> None:
+    def record_stored(self, version: Revision, record: PartRecord | None) -> None:
         """Record what the store holds; None if there is no record any more."""
-        self.version = version if record is not None else 0
+        self.version = version if record is not None else NO_REVISION
         if record is not None and record.hold is not None:
             self.stored_hold = record.hold.number
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/platform.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform.py
@@ -15,6 +15,7 @@
 import attrs
 
 from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_core.usage import UsageLine
 from geraniumhall_core.verdict import Verdict
 
@@ -29,12 +30,30 @@
 
 @attrs.frozen
 class PlatformMessage:
-    """A call to the platform."""
+    """A call to the platform.
+
+    `named_revision` is the revision that the call names as its condition or as the
+    start of its answer. The store gets its number only, so it holds in its era only.
+    """
+
+    @property
+    def named_revision(self) -> Revision:
+        """The revision that the call names, or `NO_REVISION`."""
+        return NO_REVISION
 
 
 @attrs.frozen
 class PlatformAnswer:
-    """An answer of the platform, or of the driver if the call failed."""
+    """An answer of the platform, or of the driver if the call failed.
+
+    `era` is that of the store when it answered; it is zero if the answer is not the
+    store's, or if the store states no era.
+    """
+
+    @property
+    def era(self) -> int:
+        """The era of the store that gave the answer."""
+        return 0
 
 
 @attrs.frozen
@@ -46,11 +65,19 @@
 
 @attrs.frozen
 class PutObject(PlatformMessage):
-    """Write one object if its version is `expected_version`; zero means absent."""
+    """Write one object if its version is `expected_version`.
+
+    A version with the number zero means that the object must not exist yet.
+    """
 
     key: ObjectKey
     record: Any
-    expected_version: int
+    expected_version: Revision
+
+    @property
+    def named_revision(self) -> Revision:
+        """The version that the object must have."""
+        return self.expected_version
 
 
 @attrs.frozen
@@ -58,7 +85,12 @@
     """Delete one object if its version is `expected_version`."""
 
     key: ObjectKey
-    expected_version: int
+    expected_version: Revision
+
+    @property
+    def named_revision(self) -> Revision:
+        """The version that the object must have."""
+        return self.expected_version
 
 
 @attrs.frozen
@@ -74,9 +106,14 @@
     """Wait up to `wait` seconds for changes to a feed after revision `after`."""
 
     feed: Feed
-    after: int
+    after: Revision
     wait: float
 
+    @property
+    def named_revision(self) -> Revision:
+        """The revision after which changes are wanted."""
+        return self.after
+
 
 @attrs.frozen(kw_only=True)
 class DutyMessage(PlatformMessage):
@@ -113,17 +150,29 @@
 
     object: VersionedRecord
 
+    @property
+    def era(self) -> int:
+        """The era of the object's version."""
+        return self.object.version.era
+
 
 @attrs.frozen
 class ObjectMissing(PlatformAnswer):
     """The requested object does not exist."""
 
+    era: int = attrs.field(default=0, kw_only=True)
+
 
 @attrs.frozen
 class Written(PlatformAnswer):
     """The write took effect; the object has this version now."""
 
-    version: int
+    version: Revision
+
+    @property
+    def era(self) -> int:
+        """The era of the new version."""
+        return self.version.era
 
 
 @attrs.frozen
@@ -131,6 +180,22 @@
     """The version did not match; `current` is the object now, None if absent."""
 
     current: VersionedRecord | None
+    era: int = attrs.field(default=0, kw_only=True)
+
+    @property
+    def version(self) -> Revision:
+        """The version that the next write has to expect."""
+        return self.current.version if self.current else Revision(self.era)
+
+
+@attrs.frozen
+class EraChanged(PlatformAnswer):
+    """The store is in another era than the revision that the call named.
+
+    A write may have taken effect, on a version that bears the same number.
+    """
+
+    era: int = attrs.field(kw_only=True)
 
 
 @attrs.frozen
@@ -141,7 +206,7 @@
     """
 
     key: ObjectKey | None
-    version: int
+    version: Revision
     reason: str
 
 
@@ -149,23 +214,35 @@
 class Listing(PlatformAnswer):
     """The listed objects, at one revision of the store."""
 
-    revision: int
+    revision: Revision
     objects: tuple[VersionedRecord, ...]
     unusable: tuple[UnusableObject, ...] = ()
 
+    @property
+    def era(self) -> int:
+        """The era of the listing's revision."""
+        return self.revision.era
+
 
 @attrs.frozen
 class Changes(PlatformAnswer):
     """The changes after the requested revision and up to `revision`, oldest first."""
 
-    revision: int
+    revision: Revision
     changes: tuple[VersionedRecord, ...]
     unusable: tuple[UnusableObject, ...] = ()
 
+    @property
+    def era(self) -> int:
+        """The era of the newest change."""
+        return self.revision.era
+
 
 @attrs.frozen
 class HistoryGone(PlatformAnswer):
-    """The store has dropped changes after the requested revision."""
+    """The store does not have the changes after the requested revision."""
+
+    era: int = attrs.field(default=0, kw_only=True)
 
 
 @attrs.frozen
@@ -191,3 +268,17 @@
 
     reason: str
     verdict: Verdict
+    era: int = attrs.field(default=0, kw_only=True)
+
+
+def check_era(message: PlatformMessage, answer: PlatformAnswer) -> PlatformAnswer:
+    """Return the store's answer, or `EraChanged` if it is of a later era.
+
+    Revisions of the era that the call names say nothing in a later one. A call that
+    names no revision is answered in any era.
+    """
+    named = message.named_revision
+    is_failure = isinstance(answer, PlatformFailure)
+    if named == NO_REVISION or is_failure or answer.era <= named.era:
+        return answer
+    return EraChanged(era=answer.era)
--- a/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform_model.py
@@ -37,6 +37,7 @@
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect, Event, Reducer
 from geraniumhall_core.registry import Registry
+from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_core.usage import UsageLine
 
 HISTORY_LENGTH = 4096  # changes
@@ -59,6 +60,16 @@
     """Time advanced; watches whose deadline has passed are to be answered."""
 
 
+@attrs.frozen(kw_only=True)
+class StoreCopied(Event):
+    """A copy of the store was made."""
+
+
+@attrs.frozen(kw_only=True)
+class StoreRewound(Event):
+    """The store came back from its latest copy; a new era begins."""
+
+
 @attrs.frozen(kw_only=True)
 class AnswerCall(Effect):
     """Send the answer to the call with this id."""
@@ -67,6 +78,16 @@
     answer: PlatformAnswer
 
 
+@attrs.frozen
+class PlatformCopy:
+    """A copy of the store, from which it may come back."""
+
+    revision: Revision
+    objects: dict[ObjectKey, VersionedRecord]
+    history: tuple[VersionedRecord, ...]
+    compacted_revision: Revision
+
+
 @attrs.frozen
 class PendingWatch:
     """A watch that waits for a change, or until `deadline` in seconds."""
@@ -80,15 +101,17 @@
 class PlatformState:
     """The platform's state.
 
-    The `history` of changes begins after `compacted_revision`. `fencing_tokens`
+    The `history` of changes begins after `compacted_revision`. `copy` is what the
+    store comes back from if it is rewound, at first the empty store. `fencing_tokens`
     holds the highest token seen for each subject of duty calls; a lower one is
     rejected if `checks_fencing` is true. `calls` counts messages by type.
     """
 
-    revision: int = 1
+    revision: Revision = Revision(number=1)
     objects: dict[ObjectKey, VersionedRecord] = attrs.field(factory=dict)
     history: list[VersionedRecord] = attrs.field(factory=list)
-    compacted_revision: int = 0
+    compacted_revision: Revision = NO_REVISION
+    copy: PlatformCopy = PlatformCopy(Revision(number=1), {}, (), NO_REVISION)
     watches: dict[int, PendingWatch] = attrs.field(factory=dict)
     checks_fencing: bool = True
     fencing_tokens: dict[tuple[str, ...], int] = attrs.field(factory=dict)
@@ -128,11 +151,34 @@
     yield from _answer_watches(state, event.at)
 
 
+@PLATFORM.handles(StoreCopied)
+def copy_store(state: PlatformState, event: StoreCopied) -> Iterator[Effect]:
+    """Keep a copy of the objects and their history."""
+    state.copy = PlatformCopy(
+        state.revision,
+        dict(state.objects),
+        tuple(state.history),
+        state.compacted_revision,
+    )
+    yield from ()
+
+
+@PLATFORM.handles(StoreRewound)
+def rewind_store(state: PlatformState, event: StoreRewound) -> Iterator[Effect]:
+    """Go back to the copy, in the next era; the watches learn of it with the clock."""
+    era, copy = state.revision.era + 1, state.copy
+    state.revision = Revision(era, copy.revision.number)
+    state.objects = {key: _move_to_era(item, era) for key, item in copy.objects.items()}
+    state.history = [_move_to_era(item, era) for item in copy.history]
+    state.compacted_revision = Revision(era, copy.compacted_revision.number)
+    yield from ()
+
+
 @CALL_HANDLERS.register(GetObject)
 def get_object(state: PlatformState, message: GetObject, at: float) -> PlatformAnswer:
     """Read one object."""
     found = state.objects.get(message.key)
-    return ObjectFound(found) if found else ObjectMissing()
+    return ObjectFound(found) if found else ObjectMissing(era=state.revision.era)
 
 
 @CALL_HANDLERS.register(PutObject)
@@ -147,7 +193,7 @@
 ) -> PlatformAnswer:
     """Delete one object if its version matches."""
     if message.key not in state.objects:
-        return Conflict(None)
+        return Conflict(None, era=state.revision.era)
     return _write_object(state, message.key, DELETED, message.expected_version)
 
 
@@ -203,13 +249,18 @@
     return state.checks_fencing and message.fencing_token < highest
 
 
+def _move_to_era(item: VersionedRecord, era: int) -> VersionedRecord:
+    return attrs.evolve(item, version=Revision(era, item.version.number))
+
+
 def _write_object(
-    state: PlatformState, key: ObjectKey, record: Any, expected_version: int
+    state: PlatformState, key: ObjectKey, record: Any, expected: Revision
 ) -> PlatformAnswer:
+    """Write an object; like the store itself, compare the versions' numbers only."""
     current = state.objects.get(key)
-    if (current.version if current else 0) != expected_version:
-        return Conflict(current)
-    state.revision += 1
+    if (current.version.number if current else 0) != expected.number:
+        return Conflict(current, era=state.revision.era)
+    state.revision = state.revision.advance()
     written = VersionedRecord(key, state.revision, record)
     if record is DELETED:
         del state.objects[key]
@@ -232,12 +283,12 @@
 def _answer_watch(
     state: PlatformState, watch: PendingWatch, at: float
 ) -> PlatformAnswer | None:
-    message = watch.message
-    if message.after < state.compacted_revision:
-        return HistoryGone()
-    first = bisect_right(state.history, message.after, key=lambda c: c.version)
+    after = watch.message.after.number
+    if not state.compacted_revision.number <= after <= state.revision.number:
+        return HistoryGone(era=state.revision.era)
+    first = bisect_right(state.history, after, key=lambda c: c.version.number)
     recent = state.history[first:]
-    changes = tuple(c for c in recent if find_feed(c.key) is message.feed)
+    changes = tuple(c for c in recent if find_feed(c.key) is watch.message.feed)
     if changes or at >= watch.deadline:
         return Changes(state.revision, changes)
     return None
--- a/packages/geraniumhall-core/src/geraniumhall_core/records.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/records.py
@@ -15,6 +15,7 @@
 import attrs
 
 from geraniumhall_core.registry import Registry
+from geraniumhall_core.revisions import Revision
 
 RECORD_KINDS: Registry[str, type] = Registry("record kind")
 
@@ -43,9 +44,9 @@
 class VersionedRecord:
     """One version of an object in the store; a deletion has a version too.
 
-    Versions come from one counter that increases with every write to the store.
+    Versions are revisions of the store at which the object was written.
     """
 
     key: ObjectKey
-    version: int
+    version: Revision
     record: Any
--- a/packages/geraniumhall-core/src/geraniumhall_core/revisions.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/revisions.py
@@ -20,5 +20,9 @@
     era: int = 0
     number: int = 0
 
+    def advance(self) -> "Revision":
+        """Return the next revision of the same era."""
+        return Revision(self.era, self.number + 1)
+
 
 NO_REVISION = Revision()
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -22,6 +22,7 @@
 from geraniumhall_core.requests import RequestRecord
 from geraniumhall_core.restrictions import RestrictionsView
 from geraniumhall_core.retries import RetryBudget
+from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_core.scaling import ScaleRequest
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork, ServerLoad
 from geraniumhall_core.usage import UsageLedger, UsageSeals
@@ -53,13 +54,13 @@
 class FeedState:
     """Sync state of the local copy of one feed; times are in seconds.
 
-    At `revision` zero the next call is a full listing. `confirmed_at` is the
+    Without a `revision` the next call is a full listing. `confirmed_at` is the
     time at which the newest successful call was sent: the copy is known to have
     been current then. `failures` counts failed calls in a row. `unusable` holds the
     objects that can't be decoded, with the reason.
     """
 
-    revision: int = 0
+    revision: Revision = NO_REVISION
     confirmed_at: float = float("-inf")
     failures: int = 0
     unusable: dict[ObjectKey | None, str] = attrs.field(factory=dict)
@@ -81,7 +82,7 @@
 
     demand_history: DemandHistory = attrs.field(factory=DemandHistory)
     unconfirmed: list[dict[str, float]] = attrs.field(factory=list)
-    version: int = 0
+    version: Revision = NO_REVISION
     sequence: int = 0
     is_calling: bool = False
     next_call_at: float = float("-inf")
@@ -143,7 +144,7 @@
     """
 
     seals: UsageSeals | None = None
-    version: int = 0
+    version: Revision = NO_REVISION
     reported: set[int] = attrs.field(factory=set)
     is_calling: bool = False
     next_call_at: float = float("-inf")
--- a/packages/geraniumhall-core/tests/builders.py
+++ b/packages/geraniumhall-core/tests/builders.py
@@ -25,6 +25,7 @@
     ModelTarget,
     PathTarget,
 )
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -97,10 +98,10 @@
 def build_listing(records: dict[ObjectKey, Any], revision: int = 100) -> Listing:
     """Return a listing of records with versions counted from one."""
     objects = [
-        VersionedRecord(key, version, record)
+        VersionedRecord(key, Revision(number=version), record)
         for version, (key, record) in enumerate(records.items(), 1)
     ]
-    return Listing(revision, tuple(objects))
+    return Listing(Revision(number=revision), tuple(objects))
 
 
 def build_state(**changes: Any) -> DaemonState:
--- a/packages/geraniumhall-core/tests/test_admission.py
+++ b/packages/geraniumhall-core/tests/test_admission.py
@@ -28,6 +28,7 @@
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import Refusal
 from geraniumhall_core.requests import PathTarget
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -73,9 +74,9 @@
     def test_withdrawn_key_is_refused(self) -> None:
         """A key is refused as soon as its deletion is applied."""
         state = build_state()
-        gone = VersionedRecord(ObjectKey("key", "k1"), 101, DELETED)
+        gone = VersionedRecord(ObjectKey("key", "k1"), Revision(number=101), DELETED)
         purpose = FollowFeed(Feed.RECORDS)
-        reduce(state, build_answer(purpose, Changes(101, (gone,))))
+        reduce(state, build_answer(purpose, Changes(Revision(number=101), (gone,))))
         self.assertEqual(refuse(state).code, "key_unknown")
 
     def test_stale_catalogue_refuses_keys(self) -> None:
--- a/packages/geraniumhall-core/tests/test_borrowing.py
+++ b/packages/geraniumhall-core/tests/test_borrowing.py
@@ -11,6 +11,7 @@
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.platform import Changes, Feed
 from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 
 ADDRESS = "10.0.0.2:7000"
@@ -23,8 +24,8 @@
     record = HostRecord(
         failure_domain="b", incarnation=1, sequence=1, peer_address=ADDRESS
     )
-    change = VersionedRecord(ObjectKey("host", "h2"), 101, record)
-    apply_feed_answer(state, Feed.RECORDS, Changes(101, (change,)))
+    change = VersionedRecord(ObjectKey("host", "h2"), Revision(number=101), record)
+    apply_feed_answer(state, Feed.RECORDS, Changes(Revision(number=101), (change,)))
     state.buckets["audit"].tokens = 0.0
     return state
 
@@ -121,8 +122,8 @@
             peer_address=ADDRESS,
             is_leaving=True,
         )
-        change = VersionedRecord(ObjectKey("host", "h2"), 102, record)
-        apply_feed_answer(state, Feed.RECORDS, Changes(102, (change,)))
+        change = VersionedRecord(ObjectKey("host", "h2"), Revision(number=102), record)
+        apply_feed_answer(state, Feed.RECORDS, Changes(Revision(number=102), (change,)))
         effect = find_effect(send_request(state), SendToPeers)
         self.assertEqual(effect.addresses, (ADDRESS,))
 
--- a/packages/geraniumhall-core/tests/test_catalogue.py
+++ b/packages/geraniumhall-core/tests/test_catalogue.py
@@ -14,6 +14,7 @@
 )
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import Revision
 
 KEY = ObjectKey("key", "k1")
 
@@ -24,28 +25,34 @@
     def test_older_change_is_ignored(self) -> None:
         """A change with a version below the known one is not applied."""
         catalogue = Catalogue()
-        apply_changes(catalogue, [VersionedRecord(KEY, 9, DELETED)])
-        apply_changes(catalogue, [VersionedRecord(KEY, 5, "old")])
+        apply_changes(catalogue, [VersionedRecord(KEY, Revision(number=9), DELETED)])
+        apply_changes(catalogue, [VersionedRecord(KEY, Revision(number=5), "old")])
         self.assertEqual(catalogue.keys, {})
 
     def test_old_listing_deletes_nothing_newer(self) -> None:
         """A listing does not delete a record that is newer than the listing."""
         catalogue = Catalogue()
-        apply_changes(catalogue, [VersionedRecord(KEY, 9, "new")])
-        self.assertEqual(infer_deletions(catalogue, ("key",), 5, ()), [])
+        apply_changes(catalogue, [VersionedRecord(KEY, Revision(number=9), "new")])
+        self.assertEqual(
+            infer_deletions(catalogue, ("key",), Revision(number=5), ()), []
+        )
 
     def test_listing_deletes_what_it_lacks(self) -> None:
         """A newer listing deletes the records that it does not contain."""
         catalogue = Catalogue()
-        apply_changes(catalogue, [VersionedRecord(KEY, 9, "new")])
-        apply_changes(catalogue, infer_deletions(catalogue, ("key",), 12, ()))
+        apply_changes(catalogue, [VersionedRecord(KEY, Revision(number=9), "new")])
+        apply_changes(
+            catalogue, infer_deletions(catalogue, ("key",), Revision(number=12), ())
+        )
         self.assertEqual(catalogue.keys, {})
 
     def test_listing_of_one_feed_deletes_nothing_of_another(self) -> None:
         """A listing only implies deletions of the kinds that it covers."""
         catalogue = Catalogue()
-        apply_changes(catalogue, [VersionedRecord(KEY, 9, "new")])
-        self.assertEqual(infer_deletions(catalogue, ("server",), 12, ()), [])
+        apply_changes(catalogue, [VersionedRecord(KEY, Revision(number=9), "new")])
+        self.assertEqual(
+            infer_deletions(catalogue, ("server",), Revision(number=12), ()), []
+        )
 
     @seed(20261204)
     @given(st.permutations(range(1, 9)))
@@ -53,7 +60,9 @@
         """Changes applied in any order leave the newest version."""
         catalogue = Catalogue()
         for version in order:
-            apply_changes(catalogue, [VersionedRecord(KEY, version, version)])
+            apply_changes(
+                catalogue, [VersionedRecord(KEY, Revision(number=version), version)]
+            )
         self.assertEqual(catalogue.keys, {"k1": 8})
 
 
@@ -71,7 +80,9 @@
         catalogue = Catalogue()
         apply_changes(catalogue, build_listing(build_records()).objects)
         key = ObjectKey("server", "e1")
-        change = VersionedRecord(key, 101, build_server("draft", leaving=True))
+        change = VersionedRecord(
+            key, Revision(number=101), build_server("draft", leaving=True)
+        )
         apply_changes(catalogue, [change])
         self.assertEqual(catalogue.servers_by_service["draft"], ("e2",))
 
@@ -84,10 +95,12 @@
             version=1, entries={"a": build_service_entry()}, keys={"id": record}
         )
         new = Configuration(version=2, entries={"b": build_service_entry()})
-        own_entry = VersionedRecord(ObjectKey("entry", "own"), 1, build_service_entry())
+        own_entry = VersionedRecord(
+            ObjectKey("entry", "own"), Revision(number=1), build_service_entry()
+        )
         apply_changes(catalogue, [own_entry])
-        apply_changes(catalogue, [VersionedRecord(key, 2, old)])
-        apply_changes(catalogue, [VersionedRecord(key, 3, new)])
+        apply_changes(catalogue, [VersionedRecord(key, Revision(number=2), old)])
+        apply_changes(catalogue, [VersionedRecord(key, Revision(number=3), new)])
         self.assertEqual((set(catalogue.entries), catalogue.keys), ({"own", "b"}, {}))
 
 
@@ -106,7 +119,9 @@
         }
         configuration = Configuration(version=1, entries=entries)
         key = ObjectKey("configuration", "main")
-        apply_changes(self.catalogue, [VersionedRecord(key, 1, configuration)])
+        apply_changes(
+            self.catalogue, [VersionedRecord(key, Revision(number=1), configuration)]
+        )
 
     def test_paths(self) -> None:
         """Each path finds the expected entry, or none."""
--- a/packages/geraniumhall-core/tests/test_drain.py
+++ b/packages/geraniumhall-core/tests/test_drain.py
@@ -18,6 +18,7 @@
 from geraniumhall_core.purposes import PublishHost
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.requests import AttemptOutcome
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -37,7 +38,7 @@
 def answer(state: DaemonState, call: CallPlatform, at: float) -> tuple[Effect, ...]:
     """Answer a call to the store, which takes every write and has no objects."""
     is_write = isinstance(call.message, PutObject)
-    found = Written(500) if is_write else ObjectMissing()
+    found = Written(Revision(number=500)) if is_write else ObjectMissing()
     return reduce(state, build_answer(call.purpose, found, at=at))
 
 
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -32,6 +32,7 @@
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.purposes import FollowFeed, PublishHost
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.usage import UsageFigures, UsageLine, WindowUsage
 from geraniumhall_core.verdict import Verdict
@@ -42,8 +43,10 @@
 
 def register_server(state: DaemonState, version: int = 101, **fields: object) -> None:
     """Apply the registration of a server."""
-    change = VersionedRecord(SERVER_KEY, version, build_server("draft", **fields))
-    apply_feed_answer(state, Feed.SERVERS, Changes(version, (change,)))
+    change = VersionedRecord(
+        SERVER_KEY, Revision(number=version), build_server("draft", **fields)
+    )
+    apply_feed_answer(state, Feed.SERVERS, Changes(Revision(number=version), (change,)))
 
 
 def list_servers(state: DaemonState) -> tuple[str, ...]:
@@ -69,8 +72,10 @@
 
     def test_watch_continues_after_the_revision(self) -> None:
         """The next watch starts at the revision of the answer."""
-        message = self.answer(Changes(120, ())).message
-        self.assertEqual(message, WatchObjects(Feed.CONFIGURATION, 120, 2.0))
+        message = self.answer(Changes(Revision(number=120), ())).message
+        self.assertEqual(
+            message, WatchObjects(Feed.CONFIGURATION, Revision(number=120), 2.0)
+        )
 
     def test_failure_backs_off(self) -> None:
         """A failed watch is repeated after a backoff."""
@@ -90,9 +95,13 @@
     def test_oldest_feed_decides_the_age(self) -> None:
         """Keys come from two feeds, so the older confirmation counts."""
         state = build_state()
-        apply_feed_answer(state, Feed.CONFIGURATION, Changes(120, ()), at=4.0)
+        apply_feed_answer(
+            state, Feed.CONFIGURATION, Changes(Revision(number=120), ()), at=4.0
+        )
         self.assertEqual(state.compute_catalogue_age(4.0), 3.0)
-        apply_feed_answer(state, Feed.RECORDS, Changes(120, ()), at=4.0)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=120), ()), at=4.0
+        )
         self.assertEqual(state.compute_catalogue_age(4.0), 0.0)
 
 
@@ -104,27 +113,37 @@
         state = build_state()
         purpose = FollowFeed(Feed.CONFIGURATION, wait)
         event = build_answer(purpose, answer, at=10.0 + seconds)
-        apply_feed_answer(state, Feed.RECORDS, Changes(120, ()), at=10.0 + seconds)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=120), ()), at=10.0 + seconds
+        )
         reduce(state, attrs.evolve(event, called_at=10.0))
         return state.compute_catalogue_age(10.0 + seconds)
 
     def test_empty_watch_confirms_as_of_its_end(self) -> None:
         """A watch that waited in vain shows that nothing changed while it waited."""
-        age = self.confirm(Changes(120, ()), wait=2.0, seconds=2.1)
+        age = self.confirm(Changes(Revision(number=120), ()), wait=2.0, seconds=2.1)
         self.assertAlmostEqual(age, 0.1)
 
     def test_early_answer_confirms_as_of_the_call(self) -> None:
         """An answer before the end of the wait may be older than its arrival."""
-        self.assertAlmostEqual(self.confirm(Changes(120, ()), 2.0, 1.9), 1.9)
+        self.assertAlmostEqual(
+            self.confirm(Changes(Revision(number=120), ()), 2.0, 1.9), 1.9
+        )
 
     def test_change_confirms_as_of_the_call(self) -> None:
         """Changes may have been read right after the call arrived."""
-        change = VersionedRecord(ObjectKey("workspace", "new"), 121, Workspace())
-        self.assertAlmostEqual(self.confirm(Changes(121, (change,)), 2.0, 2.1), 2.1)
+        change = VersionedRecord(
+            ObjectKey("workspace", "new"), Revision(number=121), Workspace()
+        )
+        self.assertAlmostEqual(
+            self.confirm(Changes(Revision(number=121), (change,)), 2.0, 2.1), 2.1
+        )
 
     def test_listing_confirms_as_of_the_call(self) -> None:
         """A listing may have been read right after the call arrived."""
-        self.assertAlmostEqual(self.confirm(Listing(121, ()), 0.0, 0.4), 0.4)
+        self.assertAlmostEqual(
+            self.confirm(Listing(Revision(number=121), ()), 0.0, 0.4), 0.4
+        )
 
     def test_lost_watch_is_confirmed_at_once(self) -> None:
         """After a failure the copy is confirmed without another long wait."""
@@ -141,7 +160,9 @@
         state = build_state()
         state.publishing.next_call_at = 60.0
         apply_feed_answer(state, Feed.RECORDS, DOWN, at=5.0)
-        apply_feed_answer(state, Feed.RECORDS, Changes(120, ()), at=9.0)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=120), ()), at=9.0
+        )
         effects = reduce(state, Ticked(at=9.1, wall_time=9.1, draws=(0.0, 0.0)))
         calls = [e.purpose for e in effects if isinstance(e, CallPlatform)]
         self.assertIn(PublishHost, [type(purpose) for purpose in calls])
@@ -158,13 +179,15 @@
         state = build_state()
         add_hosts(state, hosts)
         now, longest = LISTED_AT, 0.0
-        effects = apply_feed_answer(state, feed, Changes(120, ()))
+        effects = apply_feed_answer(state, feed, Changes(Revision(number=120), ()))
         for _ in range(32):
             call = find_effect(effects, CallPlatform)
             called_at = now + call.delay
             now = called_at + call.message.wait
             longest = max(longest, now - state.feeds[feed].confirmed_at)
-            event = build_answer(call.purpose, Changes(120, ()), at=now)
+            event = build_answer(
+                call.purpose, Changes(Revision(number=120), ()), at=now
+            )
             effects = reduce(state, attrs.evolve(event, called_at=called_at))
         return longest
 
@@ -188,7 +211,9 @@
                 state = build_state()
                 add_hosts(state, hosts)
                 written = hosts / state.interval_factor / state.policy.publish_interval
-                effects = apply_feed_answer(state, Feed.RECORDS, Changes(120, ()))
+                effects = apply_feed_answer(
+                    state, Feed.RECORDS, Changes(Revision(number=120), ())
+                )
                 delay = find_effect(effects, CallPlatform).delay
                 self.assertLessEqual(written * delay, 20.01)
 
@@ -197,7 +222,9 @@
         for hosts, waits in ((9, False), (79, True)):
             state = build_state()
             state.live_hosts = hosts
-            effects = apply_feed_answer(state, Feed.SERVERS, Changes(120, ()))
+            effects = apply_feed_answer(
+                state, Feed.SERVERS, Changes(Revision(number=120), ())
+            )
             delay = find_effect(effects, CallPlatform).delay
             self.assertEqual(delay > 0, waits)
 
@@ -208,7 +235,9 @@
                 with self.subTest(bound=bound, hosts=hosts):
                     state = build_state(policy={"servers_max_pause": bound * 0.4})
                     state.live_hosts = hosts
-                    effects = apply_feed_answer(state, Feed.SERVERS, Changes(120, ()))
+                    effects = apply_feed_answer(
+                        state, Feed.SERVERS, Changes(Revision(number=120), ())
+                    )
                     delay = find_effect(effects, CallPlatform).delay
                     self.assertLessEqual(delay, bound / 2)
 
@@ -218,7 +247,9 @@
         for pause in (0.8, 1.6):
             state = build_state(policy={"servers_max_pause": pause})
             state.live_hosts = 195
-            effects = apply_feed_answer(state, Feed.SERVERS, Changes(120, ()))
+            effects = apply_feed_answer(
+                state, Feed.SERVERS, Changes(Revision(number=120), ())
+            )
             delays.append(find_effect(effects, CallPlatform).delay)
         self.assertEqual(delays, [0.8, 1.6])
 
@@ -235,8 +266,12 @@
             sequence=revision,
             demands=(Demand("audit", rate),),
         )
-        change = VersionedRecord(ObjectKey("host", "h2"), revision, record)
-        apply_feed_answer(state, Feed.RECORDS, Changes(revision, (change,)), at=at)
+        change = VersionedRecord(
+            ObjectKey("host", "h2"), Revision(number=revision), record
+        )
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=revision), (change,)), at=at
+        )
 
     def test_increase_is_dated_by_the_previous_read(self) -> None:
         """An increase counts 5 s after the previous read of the feed.
@@ -246,7 +281,9 @@
         """
         state = build_state()
         self.publish_demand(state, 10.0, at=2.0)
-        apply_feed_answer(state, Feed.RECORDS, Changes(102, ()), at=4.0)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=102), ()), at=4.0
+        )
         self.publish_demand(state, 90.0, at=6.0)
         demand = state.hosts.known["h2"].demand_history
         counted = [demand.compute_counted("audit", now, 5.0) for now in (8.9, 9.0)]
@@ -283,8 +320,8 @@
         """Without an outage a deletion applies at once."""
         state = build_state()
         register_server(state)
-        gone = VersionedRecord(SERVER_KEY, 102, DELETED)
-        apply_feed_answer(state, Feed.SERVERS, Changes(102, (gone,)))
+        gone = VersionedRecord(SERVER_KEY, Revision(number=102), DELETED)
+        apply_feed_answer(state, Feed.SERVERS, Changes(Revision(number=102), (gone,)))
         self.assertNotIn("e9", list_servers(state))
 
     def build_state_after_outage(self, **fields: object) -> DaemonState:
@@ -292,7 +329,9 @@
         state = build_state()
         register_server(state, **fields)
         apply_feed_answer(state, Feed.SERVERS, DOWN, at=5.0)
-        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=9.0)
+        apply_feed_answer(
+            state, Feed.SERVERS, Listing(Revision(number=110), ()), at=9.0
+        )
         return state
 
     def test_registration_expired_in_an_outage_is_kept(self) -> None:
@@ -312,7 +351,9 @@
         for feed in (Feed.SERVERS, Feed.RECORDS):
             apply_feed_answer(state, feed, DOWN, at=5.0)
         apply_feed_answer(state, Feed.RECORDS, HistoryGone(), at=9.0)
-        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=10.0)
+        apply_feed_answer(
+            state, Feed.SERVERS, Listing(Revision(number=110), ()), at=10.0
+        )
         self.assertIn("e9", list_servers(state))
         reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
         self.assertNotIn("e9", list_servers(state))
@@ -322,10 +363,14 @@
         state = build_state()
         register_server(state)
         apply_feed_answer(state, Feed.SERVERS, DOWN, at=5.0)
-        apply_feed_answer(state, Feed.RECORDS, Changes(120, ()), at=9.0)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=120), ()), at=9.0
+        )
         late = build_answer(FollowFeed(Feed.CONFIGURATION), DOWN, at=9.5)
         reduce(state, attrs.evolve(late, called_at=8.0))
-        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=10.0)
+        apply_feed_answer(
+            state, Feed.SERVERS, Listing(Revision(number=110), ()), at=10.0
+        )
         reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
         self.assertNotIn("e9", list_servers(state))
 
@@ -337,7 +382,9 @@
         for called_at, at in ((5.0, 6.0), (6.5, 7.5), (8.0, 9.0)):
             lost = build_answer(FollowFeed(Feed.SERVERS), DOWN, at=at)
             reduce(state, attrs.evolve(lost, called_at=called_at))
-        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=9.8)
+        apply_feed_answer(
+            state, Feed.SERVERS, Listing(Revision(number=110), ()), at=9.8
+        )
         self.assertIn("e9", list_servers(state))
         reduce(state, Ticked(at=10.6, wall_time=10.6, draws=(0.0, 0.0)))
         self.assertNotIn("e9", list_servers(state))
@@ -349,7 +396,9 @@
         lost = build_answer(FollowFeed(Feed.SERVERS), DOWN, at=7.0)
         reduce(state, attrs.evolve(lost, called_at=6.0))
         apply_feed_answer(state, Feed.SERVERS, DOWN, at=8.0)
-        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=9.0)
+        apply_feed_answer(
+            state, Feed.SERVERS, Listing(Revision(number=110), ()), at=9.0
+        )
         reduce(state, Ticked(at=10.9, wall_time=10.9, draws=(0.0, 0.0)))
         self.assertIn("e9", list_servers(state))
 
@@ -357,7 +406,9 @@
         """A second outage does not extend the grace of deferred deletions."""
         state = self.build_state_after_outage()
         apply_feed_answer(state, Feed.SERVERS, DOWN, at=9.5)
-        apply_feed_answer(state, Feed.SERVERS, Listing(110, ()), at=10.5)
+        apply_feed_answer(
+            state, Feed.SERVERS, Listing(Revision(number=110), ()), at=10.5
+        )
         reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
         self.assertNotIn("e9", list_servers(state))
 
@@ -373,11 +424,16 @@
                 with self.subTest(outage=outage, later=later):
                     state = build_state()
                     register_server(state)
-                    apply_feed_answer(state, Feed.RECORDS, Changes(120, ()), at=5.0)
+                    apply_feed_answer(
+                        state, Feed.RECORDS, Changes(Revision(number=120), ()), at=5.0
+                    )
                     apply_feed_answer(state, Feed.SERVERS, DOWN, at=5.0)
-                    back = Changes(120, ())
+                    back = Changes(Revision(number=120), ())
                     apply_feed_answer(state, Feed.RECORDS, back, at=5.0 + outage)
-                    gone = Changes(121, (VersionedRecord(SERVER_KEY, 121, DELETED),))
+                    gone = Changes(
+                        Revision(number=121),
+                        (VersionedRecord(SERVER_KEY, Revision(number=121), DELETED),),
+                    )
                     seen_at = 5.0 + outage + later
                     apply_feed_answer(state, Feed.SERVERS, gone, at=seen_at)
                     self.assertNotIn("e9", list_servers(state))
@@ -387,9 +443,13 @@
         state = build_state()
         register_server(state)
         apply_feed_answer(state, Feed.RECORDS, DOWN, at=5.0)
-        apply_feed_answer(state, Feed.RECORDS, Changes(120, ()), at=9.0)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=120), ()), at=9.0
+        )
         apply_feed_answer(state, Feed.SERVERS, DOWN, at=9.2)
-        apply_feed_answer(state, Feed.SERVERS, Listing(130, ()), at=9.4)
+        apply_feed_answer(
+            state, Feed.SERVERS, Listing(Revision(number=130), ()), at=9.4
+        )
         self.assertIn("e9", list_servers(state))
 
     def test_registration_that_is_not_renewed_is_dropped(self) -> None:
@@ -413,8 +473,8 @@
         """Return the state of a process that has just listed every feed."""
         policy = Policy(host="h1", failure_domain="a", incarnation=2)
         state = DaemonState.from_policy(policy)
-        apply_feed_answer(state, Feed.CONFIGURATION, Listing(100, ()))
-        apply_feed_answer(state, Feed.SERVERS, Listing(100, ()))
+        apply_feed_answer(state, Feed.CONFIGURATION, Listing(Revision(number=100), ()))
+        apply_feed_answer(state, Feed.SERVERS, Listing(Revision(number=100), ()))
         apply_feed_answer(state, Feed.RECORDS, build_listing(build_records()))
         return state
 
@@ -426,9 +486,11 @@
         """The bucket of a workspace added later is full."""
         state = self.build()
         change = VersionedRecord(
-            ObjectKey("workspace", "new"), 101, Workspace(rate=1.0, burst=7.0)
+            ObjectKey("workspace", "new"),
+            Revision(number=101),
+            Workspace(rate=1.0, burst=7.0),
         )
-        apply_feed_answer(state, Feed.RECORDS, Changes(101, (change,)))
+        apply_feed_answer(state, Feed.RECORDS, Changes(Revision(number=101), (change,)))
         reduce(state, Ticked(at=1.1, wall_time=1.1, draws=(0.0, 0.0)))
         self.assertEqual(state.buckets["new"].tokens, 7.0)
 
@@ -440,8 +502,10 @@
         """
         state = build_state()
         record = HostRecord(failure_domain="b", incarnation=1, sequence=1)
-        change = VersionedRecord(ObjectKey("host", "h2"), 101, record)
-        apply_feed_answer(state, Feed.RECORDS, Changes(101, (change,)), at=2.0)
+        change = VersionedRecord(ObjectKey("host", "h2"), Revision(number=101), record)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=101), (change,)), at=2.0
+        )
         reduce(state, build_arrival(at=2.0))
         reduce(state, Ticked(at=2.1, wall_time=2.1, draws=(0.0, 0.0)))
         self.assertAlmostEqual(state.buckets["other"].share.rate, 5e5)
@@ -449,8 +513,12 @@
     def test_bucket_of_a_removed_workspace_is_dropped(self) -> None:
         """A host that is always busy drops the buckets of removed workspaces."""
         state = build_state()
-        gone = VersionedRecord(ObjectKey("workspace", "other"), 101, DELETED)
-        apply_feed_answer(state, Feed.RECORDS, Changes(101, (gone,)), at=2.0)
+        gone = VersionedRecord(
+            ObjectKey("workspace", "other"), Revision(number=101), DELETED
+        )
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=101), (gone,)), at=2.0
+        )
         reduce(state, build_arrival(at=2.0))
         reduce(state, Ticked(at=2.1, wall_time=2.1, draws=(0.0, 0.0)))
         self.assertNotIn("other", state.buckets)
--- a/packages/geraniumhall-core/tests/test_leases.py
+++ b/packages/geraniumhall-core/tests/test_leases.py
@@ -4,6 +4,7 @@
 
 from geraniumhall_core.leases import Lease, LeaseState
 from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import Revision
 
 TTL = 9.0
 KEY = ObjectKey("lease", "usage")
@@ -41,13 +42,13 @@
     def test_same_version_does_not_restart_the_wait(self) -> None:
         """Reading the same version again does not restart the wait for takeover."""
         state = LeaseState()
-        state.observe(VersionedRecord(KEY, 5, build_lease(1)), 100.0)
-        state.observe(VersionedRecord(KEY, 5, build_lease(1)), 107.0)
+        state.observe(VersionedRecord(KEY, Revision(number=5), build_lease(1)), 100.0)
+        state.observe(VersionedRecord(KEY, Revision(number=5), build_lease(1)), 107.0)
         self.assertEqual(state.first_seen_at, 100.0)
 
     def test_new_version_restarts_the_wait(self) -> None:
         """A renewal restarts the wait for takeover."""
         state = LeaseState()
-        state.observe(VersionedRecord(KEY, 5, build_lease(1)), 100.0)
-        state.observe(VersionedRecord(KEY, 6, build_lease(2)), 107.0)
+        state.observe(VersionedRecord(KEY, Revision(number=5), build_lease(1)), 100.0)
+        state.observe(VersionedRecord(KEY, Revision(number=6), build_lease(2)), 107.0)
         self.assertEqual(state.first_seen_at, 107.0)
--- a/packages/geraniumhall-core/tests/test_prefixes.py
+++ b/packages/geraniumhall-core/tests/test_prefixes.py
@@ -39,6 +39,7 @@
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.reports import LoadReport
 from geraniumhall_core.requests import CallerRequest, PathTarget, PromptPart
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 
 FIRST, SECOND, THIRD = PartUse(1, 600), PartUse(2, 300), PartUse(3, 500)
@@ -102,16 +103,26 @@
             version=1, entries={"m": entry}, services={"llm": Service(engine=PROFILE)}
         )
         key = ObjectKey("configuration", "main")
-        self.change(state, Feed.CONFIGURATION, VersionedRecord(key, 101, configuration))
+        self.change(
+            state,
+            Feed.CONFIGURATION,
+            VersionedRecord(key, Revision(number=101), configuration),
+        )
         server = BackendServer(
             address="10.0.0.9:80", failure_domain="a", service="llm", started_at=5
         )
-        self.change(state, Feed.SERVERS, VersionedRecord(SERVER_KEY, 102, server))
+        self.change(
+            state,
+            Feed.SERVERS,
+            VersionedRecord(SERVER_KEY, Revision(number=102), server),
+        )
         peer = HostRecord(
             failure_domain="b", incarnation=1, sequence=1, peer_address="h2:1"
         )
         key = ObjectKey("host", "h2")
-        self.change(state, Feed.RECORDS, VersionedRecord(key, 103, peer))
+        self.change(
+            state, Feed.RECORDS, VersionedRecord(key, Revision(number=103), peer)
+        )
         return state
 
     def change(self, state: DaemonState, feed: Feed, item: VersionedRecord) -> None:
@@ -162,7 +173,11 @@
         """Nothing is kept of an engine that is gone."""
         state = self.build()
         self.send_prompt(state)
-        self.change(state, Feed.SERVERS, VersionedRecord(SERVER_KEY, 110, DELETED))
+        self.change(
+            state,
+            Feed.SERVERS,
+            VersionedRecord(SERVER_KEY, Revision(number=110), DELETED),
+        )
         reduce(state, Ticked(at=2.1, wall_time=2.1, draws=(0.0, 0.0)))
         self.assertEqual(state.prefix_caches.engines, {})
 
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -68,6 +68,7 @@
     Phase,
     PromptPart,
 )
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -86,8 +87,10 @@
 def hold_part(state: DaemonState, at: float = 2.0, hold: PartHold = HOLD) -> None:
     """Deliver a stored hold of the part to a state."""
     record = PartRecord(crashes=(build_crash("e9"),), hold=hold)
-    change = VersionedRecord(KEY, 200, record)
-    apply_feed_answer(state, Feed.RECORDS, Changes(200, (change,)), at=at)
+    change = VersionedRecord(KEY, Revision(number=200), record)
+    apply_feed_answer(
+        state, Feed.RECORDS, Changes(Revision(number=200), (change,)), at=at
+    )
 
 
 def start_request(state: DaemonState, request_id: str, at: float, **fields: Any) -> Any:
@@ -193,8 +196,10 @@
         state = build_state()
         sent = find_effect(start_request(state, "r1", 3.0), RelayRequest)
         key = ObjectKey("server", sent.server)
-        change = VersionedRecord(key, 200, DELETED)
-        apply_feed_answer(state, Feed.RECORDS, Changes(200, (change,)), at=3.05)
+        change = VersionedRecord(key, Revision(number=200), DELETED)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=200), (change,)), at=3.05
+        )
         end = reduce(state, build_attempt_end(sent, AttemptOutcome.BROKEN, at=3.1))
         self.assertFalse([e for e in end if isinstance(e, ProbeServer)])
 
@@ -291,9 +296,11 @@
         answer_request(state, "r0", 2.0, PART)
         answer_request(state, "r00", 2.0, "system")
         servers = [
-            VersionedRecord(ObjectKey("server", "e3"), 200, build_server("draft"))
+            VersionedRecord(
+                ObjectKey("server", "e3"), Revision(number=200), build_server("draft")
+            )
         ]
-        changes = Changes(200, tuple(servers))
+        changes = Changes(Revision(number=200), tuple(servers))
         apply_feed_answer(state, Feed.RECORDS, changes, at=2.5)
         for number, at in enumerate((3.0, 3.2, 3.4), 1):
             break_request(state, f"r{number}", at)
@@ -457,8 +464,10 @@
         self.assertEqual(refusal.code, "part_held")
         confirm_copy(state, 18.0)
         call = self.claim(state, "r1", 18.0)
-        self.assertEqual(call.message.expected_version, 200)
-        effects = reduce(state, build_answer(call.purpose, Written(201), at=18.01))
+        self.assertEqual(call.message.expected_version, Revision(number=200))
+        effects = reduce(
+            state, build_answer(call.purpose, Written(Revision(number=201)), at=18.01)
+        )
         find_effect(effects, RelayRequest)
         self.assertEqual(
             find_refusal(start_request(state, "r2", 18.1)).code, "part_held"
@@ -472,7 +481,7 @@
         confirm_copy(state, 18.0)
         call = self.claim(state, "r1", 18.0)
         other = PartRecord(crashes=(), hold=HOLD.extend("h2"))
-        conflict = Conflict(VersionedRecord(KEY, 201, other))
+        conflict = Conflict(VersionedRecord(KEY, Revision(number=201), other))
         effects = reduce(state, build_answer(call.purpose, conflict, at=18.01))
         self.assertEqual(find_refusal(effects).code, "part_held")
         self.assertEqual(state.quarantine.parts[PART].hold.trial_host, "h2")
@@ -494,7 +503,9 @@
         confirm_copy(state, 18.0)
         call = self.claim(state, "r1", 18.0)
         reduce(state, CallerDisconnected(at=18.0, request_id="r1"))
-        effects = reduce(state, build_answer(call.purpose, Written(201), at=18.01))
+        effects = reduce(
+            state, build_answer(call.purpose, Written(Revision(number=201)), at=18.01)
+        )
         self.assertFalse([e for e in effects if isinstance(e, RelayRequest)])
 
     def test_answered_trial_releases_the_part(self):
@@ -503,14 +514,16 @@
         hold_part(state)
         confirm_copy(state, 18.0)
         call = self.claim(state, "r1", 18.0)
-        effects = reduce(state, build_answer(call.purpose, Written(201), at=18.01))
+        effects = reduce(
+            state, build_answer(call.purpose, Written(Revision(number=201)), at=18.01)
+        )
         sent = find_effect(effects, RelayRequest)
         end = build_attempt_end(
             sent, AttemptOutcome.COMPLETED, verdict=Verdict.RAN, at=18.5
         )
         effects = reduce(state, end)
         deletion = find_effect(effects, CallPlatform)
-        self.assertEqual(deletion.message, DeleteObject(KEY, 201))
+        self.assertEqual(deletion.message, DeleteObject(KEY, Revision(number=201)))
         find_effect(start_request(state, "r2", 18.6), RelayRequest)
 
     def test_trial_that_ends_a_server_keeps_the_hold(self):
@@ -519,7 +532,9 @@
         hold_part(state)
         confirm_copy(state, 18.0)
         call = self.claim(state, "r1", 18.0)
-        effects = reduce(state, build_answer(call.purpose, Written(201), at=18.01))
+        effects = reduce(
+            state, build_answer(call.purpose, Written(Revision(number=201)), at=18.01)
+        )
         sent = find_effect(effects, RelayRequest)
         end = build_attempt_end(sent, AttemptOutcome.BROKEN, at=18.1)
         probe = find_effect(reduce(state, end), ProbeServer)
@@ -543,8 +558,10 @@
         """An operator's deletion admits the requests again."""
         state = build_state()
         hold_part(state)
-        change = VersionedRecord(KEY, 300, DELETED)
-        apply_feed_answer(state, Feed.RECORDS, Changes(300, (change,)), at=3.0)
+        change = VersionedRecord(KEY, Revision(number=300), DELETED)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=300), (change,)), at=3.0
+        )
         find_effect(start_request(state, "r1", 3.1), RelayRequest)
 
     def test_deleted_record_releases_a_hold_of_this_host(self):
@@ -555,11 +572,17 @@
         known.is_dirty = True
         calls = [e for e in tick(state, 3.1) if isinstance(e, CallPlatform)]
         saved = next(call for call in calls if isinstance(call.purpose, SavePart))
-        reduce(state, build_answer(saved.purpose, Written(250), at=3.2))
-        own = VersionedRecord(KEY, 250, saved.message.record)
-        apply_feed_answer(state, Feed.RECORDS, Changes(250, (own,)), at=3.3)
-        change = VersionedRecord(KEY, 300, DELETED)
-        apply_feed_answer(state, Feed.RECORDS, Changes(300, (change,)), at=3.4)
+        reduce(
+            state, build_answer(saved.purpose, Written(Revision(number=250)), at=3.2)
+        )
+        own = VersionedRecord(KEY, Revision(number=250), saved.message.record)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=250), (own,)), at=3.3
+        )
+        change = VersionedRecord(KEY, Revision(number=300), DELETED)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=300), (change,)), at=3.4
+        )
         self.assertFalse(state.quarantine.is_held(PART))
 
     def test_record_of_a_released_hold_is_deleted(self):
@@ -567,14 +590,18 @@
         state = build_state()
         crash = build_crash("e9", host="h1")
         stored = PartRecord(crashes=(crash,), hold=HOLD)
-        change = VersionedRecord(KEY, 200, stored)
-        apply_feed_answer(state, Feed.RECORDS, Changes(200, (change,)), at=2.0)
+        change = VersionedRecord(KEY, Revision(number=200), stored)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=200), (change,)), at=2.0
+        )
         report = PartReport(
             host="h2", part=PART, refuted=(crash.crash_id,), released=HOLD.number
         )
         reduce(state, PeerMessageReceived(at=2.5, message=report, draws=DRAWS))
         calls = [e for e in tick(state, 2.6) if isinstance(e, CallPlatform)]
-        self.assertIn(DeleteObject(KEY, 200), [call.message for call in calls])
+        self.assertIn(
+            DeleteObject(KEY, Revision(number=200)), [call.message for call in calls]
+        )
 
     def test_operator_hold_needs_no_crash_and_has_no_trial(self):
         """It stays until it is released, and no time to wait is given."""
@@ -607,10 +634,10 @@
             if isinstance(e, CallPlatform) and isinstance(e.purpose, SavePart)
         )
         stored = PartRecord(crashes=(build_crash("e2", follows=True),))
-        conflict = Conflict(VersionedRecord(KEY, 250, stored))
+        conflict = Conflict(VersionedRecord(KEY, Revision(number=250), stored))
         effects = reduce(state, build_answer(call.purpose, conflict, at=3.2))
         message = find_effect(effects, CallPlatform).message
-        self.assertEqual(message.expected_version, 250)
+        self.assertEqual(message.expected_version, Revision(number=250))
         self.assertEqual(len(message.record.crashes), 2)
 
     def test_failed_write_is_logged_and_repeated(self):
--- a/packages/geraniumhall-core/tests/test_reports.py
+++ b/packages/geraniumhall-core/tests/test_reports.py
@@ -12,6 +12,7 @@
 from geraniumhall_core.platform import Changes, Feed
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reports import LoadReport, ReportsView, ServerWork
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.server_load import ForeignWork
 from geraniumhall_core.state import DaemonState
 
@@ -33,8 +34,8 @@
     record = HostRecord(
         failure_domain="b", incarnation=1, sequence=1, peer_address="10.0.0.2:7000"
     )
-    change = VersionedRecord(ObjectKey("host", "h2"), 101, record)
-    apply_feed_answer(state, Feed.RECORDS, Changes(101, (change,)))
+    change = VersionedRecord(ObjectKey("host", "h2"), Revision(number=101), record)
+    apply_feed_answer(state, Feed.RECORDS, Changes(Revision(number=101), (change,)))
     return state
 
 
--- a/packages/geraniumhall-core/tests/test_restrictions.py
+++ b/packages/geraniumhall-core/tests/test_restrictions.py
@@ -59,6 +59,7 @@
     RestrictionReport,
 )
 from geraniumhall_core.returns import RETURN_POLICIES
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.sharing import SHARING_POLICIES, SharingQuery
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
@@ -270,8 +271,10 @@
     """List a server with other fields, as one that registered itself."""
     fields.setdefault("entries", ("draft", "open"))
     record = build_server(*fields.pop("entries"), **fields)
-    change = VersionedRecord(ObjectKey(REGISTERED_SERVER_KIND, name), 200, record)
-    apply_feed_answer(state, Feed.SERVERS, Changes(200, (change,)))
+    change = VersionedRecord(
+        ObjectKey(REGISTERED_SERVER_KIND, name), Revision(number=200), record
+    )
+    apply_feed_answer(state, Feed.SERVERS, Changes(Revision(number=200), (change,)))
 
 
 class SendTest(unittest.TestCase):
@@ -458,8 +461,12 @@
 
     def test_server_that_registers_again_is_still_leaving(self) -> None:
         """A registration that lapsed and came back is of the same process."""
-        record = VersionedRecord(ObjectKey(REGISTERED_SERVER_KIND, "e1"), 150, DELETED)
-        apply_feed_answer(self.state, Feed.SERVERS, Changes(150, (record,)))
+        record = VersionedRecord(
+            ObjectKey(REGISTERED_SERVER_KIND, "e1"), Revision(number=150), DELETED
+        )
+        apply_feed_answer(
+            self.state, Feed.SERVERS, Changes(Revision(number=150), (record,))
+        )
         replace_server(self.state, "e1")
         self.assertFalse(is_open(self.state, "e1", 3.0))
 
--- a/packages/geraniumhall-core/tests/test_scaling.py
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -32,6 +32,7 @@
     ScaleDomain,
 )
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.scaling import DomainTarget, DomainView, prefer_reclaimable
 from geraniumhall_core.state import DaemonState
 
@@ -99,15 +100,26 @@
         configuration = Configuration(
             version=1, services={"llm": Service(scale=BOUNDS)}
         )
-        changes = [VersionedRecord(key, 101, configuration)]
+        changes = [VersionedRecord(key, Revision(number=101), configuration)]
         purpose = FollowFeed(Feed.CONFIGURATION)
-        reduce(state, build_answer(purpose, Changes(101, tuple(changes))))
+        reduce(
+            state, build_answer(purpose, Changes(Revision(number=101), tuple(changes)))
+        )
         server = BackendServer(address="10.0.0.9:80", failure_domain="a", service="llm")
         servers = tuple(
-            VersionedRecord(ObjectKey("registered_server", f"s{n}"), 110 + n, server)
+            VersionedRecord(
+                ObjectKey("registered_server", f"s{n}"),
+                Revision(number=110 + n),
+                server,
+            )
             for n in range(3)
         )
-        reduce(state, build_answer(FollowFeed(Feed.SERVERS), Changes(120, servers)))
+        reduce(
+            state,
+            build_answer(
+                FollowFeed(Feed.SERVERS), Changes(Revision(number=120), servers)
+            ),
+        )
         if is_holder:
             lease = Lease(host="h1", incarnation=1, term=4, renewal=0)
             state.lease.written_at[0] = 2.0
@@ -139,7 +151,10 @@
         state = self.build()
         calls = tick(state, 2.1)
         renewal = Lease(host="h1", incarnation=1, term=4, renewal=1)
-        reduce(state, build_answer(MaintainLease(renewal), Written(6), at=2.2))
+        reduce(
+            state,
+            build_answer(MaintainLease(renewal), Written(Revision(number=6)), at=2.2),
+        )
         reduce(state, DrainRequested(at=2.2))
         self.assertFalse(self.releases_lease(state, 2.3))
         for call in calls:
@@ -213,10 +228,14 @@
         """Register three reclaimable servers, and remove all regular ones but one."""
         self.register(state, 130, leaving=False)
         removed = tuple(
-            VersionedRecord(ObjectKey("registered_server", f"s{n}"), 134 + n, DELETED)
+            VersionedRecord(
+                ObjectKey("registered_server", f"s{n}"),
+                Revision(number=134 + n),
+                DELETED,
+            )
             for n in range(2)
         )
-        changes = Changes(136, removed)
+        changes = Changes(Revision(number=136), removed)
         reduce(state, build_answer(FollowFeed(Feed.SERVERS), changes))
 
     def register(self, state: DaemonState, revision: int, leaving: bool) -> None:
@@ -230,11 +249,13 @@
         )
         servers = tuple(
             VersionedRecord(
-                ObjectKey("registered_server", f"r{n}"), revision + n, server
+                ObjectKey("registered_server", f"r{n}"),
+                Revision(number=revision + n),
+                server,
             )
             for n in range(3)
         )
-        changes = Changes(revision + 3, servers)
+        changes = Changes(Revision(number=revision + 3), servers)
         reduce(state, build_answer(FollowFeed(Feed.SERVERS), changes))
 
     def settle(
--- a/packages/geraniumhall-core/tests/test_shares.py
+++ b/packages/geraniumhall-core/tests/test_shares.py
@@ -17,6 +17,7 @@
 from geraniumhall_core.platform import Changes, Feed, Listing
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 
 RATE = 900.0
@@ -27,8 +28,10 @@
     """Let a host's record change."""
     version = int(at * 1000)
     record = HostRecord(failure_domain="b", incarnation=1, sequence=version, **fields)
-    change = VersionedRecord(ObjectKey("host", host), version, record)
-    apply_feed_answer(state, Feed.RECORDS, Changes(version, (change,)), at=at)
+    change = VersionedRecord(ObjectKey("host", host), Revision(number=version), record)
+    apply_feed_answer(
+        state, Feed.RECORDS, Changes(Revision(number=version), (change,)), at=at
+    )
 
 
 def build_fleet(hosts: int) -> DaemonState:
@@ -102,8 +105,8 @@
         records[ObjectKey("workspace", "audit")] = Workspace(
             rate=RATE, burst=100.0, unit=RateUnit.TOKENS
         )
-        apply_feed_answer(state, Feed.CONFIGURATION, Listing(100, ()))
-        apply_feed_answer(state, Feed.SERVERS, Listing(100, ()))
+        apply_feed_answer(state, Feed.CONFIGURATION, Listing(Revision(number=100), ()))
+        apply_feed_answer(state, Feed.SERVERS, Listing(Revision(number=100), ()))
         apply_feed_answer(state, Feed.RECORDS, build_listing(records))
         bucket = state.buckets["audit"]
         self.assertGreater(bucket.share.overdraft, 0.0)
--- a/packages/geraniumhall-core/tests/test_spread.py
+++ b/packages/geraniumhall-core/tests/test_spread.py
@@ -34,6 +34,7 @@
     PathTarget,
     PromptPart,
 )
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.routing import ROUTING_POLICIES
 from geraniumhall_core.state import DaemonState
 
@@ -71,9 +72,12 @@
     servers += [build_registration(n, "plain", "filing") for n in range(SERVERS)]
     key = ObjectKey("configuration", "main")
     return {
-        Feed.CONFIGURATION: Listing(1, (VersionedRecord(key, 1, configuration),)),
-        Feed.SERVERS: Listing(SERVERS, tuple(servers)),
-        Feed.RECORDS: Listing(1, ()),
+        Feed.CONFIGURATION: Listing(
+            Revision(number=1),
+            (VersionedRecord(key, Revision(number=1), configuration),),
+        ),
+        Feed.SERVERS: Listing(Revision(number=SERVERS), tuple(servers)),
+        Feed.RECORDS: Listing(Revision(number=1), ()),
     }
 
 
@@ -85,7 +89,7 @@
         address=f"10.0.0.{number}:80", failure_domain="a", service=service, **fields
     )
     key = ObjectKey("registered_server", f"{kind}{number}")
-    return VersionedRecord(key, 1 + number, server)
+    return VersionedRecord(key, Revision(number=1 + number), server)
 
 
 def build_hosts(routing: str = "prefix_affinity") -> list[DaemonState]:
@@ -150,7 +154,12 @@
         for call in effects:
             if isinstance(call, CallPlatform) and isinstance(call.purpose, PublishHost):
                 writes.append(int(at / 0.5))
-                reduce(state, build_answer(call.purpose, Written(tick + 1), at=at))
+                reduce(
+                    state,
+                    build_answer(
+                        call.purpose, Written(Revision(number=tick + 1)), at=at
+                    ),
+                )
     return writes
 
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/memory.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/memory.py
@@ -35,7 +35,7 @@
         self._answer_events = {}
         self._answers = {}
         for key, record in settings.decode_seed().items():
-            self.state.revision += 1
+            self.state.revision = self.state.revision.advance()
             item = VersionedRecord(key, self.state.revision, record)
             self.state.objects[key] = item
         self.state.compacted_revision = self.state.revision
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
@@ -31,6 +31,7 @@
 from geraniumhall_core.registry import Registry
 from geraniumhall_wire.description import describe
 from geraniumhall_wire.records import encode_record
+from geraniumhall_wire.versions import encode_version
 
 
 @attrs.frozen
@@ -105,7 +106,7 @@
 def encode_found(answer: ObjectFound) -> AdminResponse:
     """Encode one record."""
     data = _describe_record(answer.object)
-    return AdminResponse(200, data, answer.object.version)
+    return AdminResponse(200, data, encode_version(answer.object.version))
 
 
 @ANSWER_ENCODERS.register(ObjectMissing)
@@ -119,7 +120,8 @@
 @ANSWER_ENCODERS.register(Written)
 def encode_written(answer: Written) -> AdminResponse:
     """Encode a write that took effect."""
-    return AdminResponse(200, {"version": answer.version}, answer.version)
+    version = encode_version(answer.version)
+    return AdminResponse(200, {"version": version}, version)
 
 
 @ANSWER_ENCODERS.register(Conflict)
@@ -128,7 +130,7 @@
     current = _describe_record(answer.current) if answer.current else None
     reason = "the record is not at the version of the condition"
     error = {"code": "conflict", "reason": reason, "path": ""}
-    version = answer.current.version if answer.current else 0
+    version = encode_version(answer.version) if answer.current else 0
     return AdminResponse(412, {"error": error, "current": current}, version)
 
 
@@ -136,7 +138,9 @@
 def encode_listing(answer: Listing) -> AdminResponse:
     """Encode the records of one kind."""
     records = [_describe_record(item) for item in answer.objects]
-    return AdminResponse(200, {"revision": answer.revision, "records": records})
+    return AdminResponse(
+        200, {"revision": encode_version(answer.revision), "records": records}
+    )
 
 
 @ANSWER_ENCODERS.register(PlatformFailure)
@@ -157,4 +161,8 @@
         record: Any = {"workspace": item.record.workspace}
     else:
         record = encode_record(item.record)
-    return {"name": item.key.name, "version": item.version, "record": record}
+    return {
+        "name": item.key.name,
+        "version": encode_version(item.version),
+        "record": record,
+    }
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
@@ -29,10 +29,12 @@
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.registry import Registry
+from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_wire.admin_answers import AdminRefusal
 from geraniumhall_wire.converter import InvalidDataError
 from geraniumhall_wire.heads import RequestHead
 from geraniumhall_wire.records import decode_record
+from geraniumhall_wire.versions import decode_version
 
 ADMIN_PREFIX = "/admin/v1"
 WRITABLE_KINDS = tuple(kind for kind in EDITABLE_KINDS if kind != "key")
@@ -169,7 +171,7 @@
         return AdminRefusal(400, "invalid_record", reason, "$")
     key = call.new_key
     record = KeyRecord.from_secret(str(workspace), key.salt, key.secret)
-    return WriteRecord(ObjectKey("key", key.key_id), record, 0)
+    return WriteRecord(ObjectKey("key", key.key_id), record, NO_REVISION)
 
 
 def _match_template(template: str, segments: list[str]) -> dict[str, str] | None:
@@ -197,13 +199,13 @@
     return AdminRefusal(404, "unknown_kind", reason)
 
 
-def _parse_condition(head: RequestHead) -> int | AdminRefusal:
+def _parse_condition(head: RequestHead) -> Revision | AdminRefusal:
     """Return the expected version of the record, zero for a new one."""
     if head.find(b"if-none-match") == b"*":
-        return 0
+        return NO_REVISION
     etag = (head.find(b"if-match") or b"").strip(b'"')
     if etag.isdigit():
-        return int(etag)
+        return decode_version(int(etag))
     reason = 'an edit needs If-Match: "VERSION", or If-None-Match: * for a new record'
     return AdminRefusal(428, "condition_missing", reason)
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -416,7 +416,7 @@
         15,
         "an older version replaces a newer one",
         f"{CORE}/catalogue.py",
-        "if catalogue.versions.get(item.key, 0) >= item.version:",
+        "if catalogue.versions.get(item.key, NO_REVISION) >= item.version:",
         "if False:",
         "test_catalogue",
     ),
