--- a/packages/geraniumhall-bench/tests/test_summaries.py
+++ b/packages/geraniumhall-bench/tests/test_summaries.py
@@ -9,6 +9,7 @@
 from geraniumhall_core.catalogue import BackendServer, CatalogueEntry, ServiceClass
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.requests import CallerRequest, ModelTarget
+from geraniumhall_core.revisions import Revision
 
 HOSTS = 24
 DOMAINS = "abc"
@@ -32,8 +33,8 @@
             entries=("draft",),
         )
     store = cluster.platform
-    for key, record in records.items():
-        store.revision += 1
+    for version, (key, record) in enumerate(records.items(), 1):
+        store.revision = Revision(number=version)
         store.objects[key] = VersionedRecord(key, store.revision, record)
     for number in range(HOSTS):
         domain = DOMAINS[number % len(DOMAINS)]
