Learn the speed of each engine from its answers

Cause: engines of one service differ in speed, turn slow for a while or fail a part of their requests, and one configured rate was used for all of them and for every deployment.

Change: with `routing.speeds: learned` a host takes a sample of each ended attempt: the prefill rate from what was pending and the time to the first event, the time between events, and whether it failed. An engine's speed is the weighted median of its samples, relative to the median of its service, drawn towards the usual one while its samples are few or old. Samples of engines that are not well known go into the load reports (10 bytes each). Planning divides prefill by the speed, and adds what a slow pace or failures cost. The default, `uniform`, collects nothing and plans as before.

Ruled out: a mean of the samples (the noise of single answers swings it); reporting only surprising samples (biased towards the noise); reporting all of them (more bytes without earlier detection); a half-life of 4 s (better on steady speeds, but an engine that recovered stayed out of use for longer).

--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -91,7 +91,9 @@
 
     Token counts are those reported by the backend server, or those of the relayed
     response if it reported none. `longest_pause` is the longest time between
-    two parts of the response, in seconds. `notice` is what the server stated of itself,
+    two parts of the response, in seconds, and `events` the number of its events, zero
+    if not counted. With `is_server_error` the server reported an error of its own, and
+    that answer was relayed. `notice` is what the server stated of itself,
     None if `ResponseStarted` had it or no head that is surely the server's was read.
     """
 
@@ -102,6 +104,8 @@
     wall_time: float
     draws: tuple[float, float]
     longest_pause: float = 0.0
+    events: int = 0
+    is_server_error: bool = False
     prompt_tokens: int = 0
     generated_tokens: int = 0
     reason: str = ""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -49,6 +49,7 @@
     can_retry_error,
     may_retry,
 )
+from geraniumhall_core.handlers.speeds import observe_attempt, observe_first_event
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import (
     DEADLINE_EXCEEDED,
@@ -79,6 +80,7 @@
         record.response_started = True
         record.began_at = event.at
         _finish_prefill(state, record)
+        observe_first_event(state, record, event.at)
         count_request(state, record, event.wall_time)
         yield log_progress("answer_started", record, event.at)
         yield from report_load(state, event.at)
@@ -94,6 +96,7 @@
             yield from _release_server_memory(state, event.kv_cache, event.at)
         return
     _release_server(state, record, event.at, event.outcome)
+    observe_attempt(state, record, event)
     if event.outcome is AttemptOutcome.COMPLETED:
         record.kv_cache = event.kv_cache
         yield log_progress("prompt_read", record, event.at)
@@ -117,6 +120,7 @@
     record.verdict = record.verdict.join(event.verdict)
     record.runs += event.verdict is not Verdict.NOT_RUN
     _release_server(state, record, event.at, event.outcome)
+    observe_attempt(state, record, event)
     if event.outcome is AttemptOutcome.BROKEN:
         yield from examine_break(state, record, event.at)
     if event.outcome is AttemptOutcome.COMPLETED:
@@ -349,6 +353,9 @@
     record.attempts += 1
     record.server = placement.server
     record.prefill_tokens = placement.prefill_tokens
+    record.pending_prefill = placement.pending_prefill
+    record.prefill_percent = 0
+    record.attempted_at = now
     record.tried_servers.add(placement.server)
     load = state.get_load(placement.server)
     load.start_work(placement.prefill_tokens, record.request.memory_tokens)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -33,6 +33,7 @@
     report_restrictions,
 )
 from geraniumhall_core.handlers.scaling import reconcile_scale
+from geraniumhall_core.handlers.speeds import count_slow_engines
 from geraniumhall_core.handlers.summaries import expire_summaries, send_summaries
 from geraniumhall_core.handlers.unusable_objects import count_unusable
 from geraniumhall_core.handlers.usage import advance_usage_sealing
@@ -153,6 +154,7 @@
             Metric("objects.unusable", count_unusable(state)),
             Metric("parts.held", state.quarantine.count_held()),
             Metric("parts.suspected", len(state.quarantine.parts)),
+            Metric("engines.slow", count_slow_engines(state)),
             Metric("servers.known", len(state.catalogue.servers)),
             Metric("servers.limited", state.restrictions.count_limited()),
             Metric("servers.leaving", state.restrictions.count_leaving()),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -7,11 +7,13 @@
 
 from geraniumhall_core.catalogue import BackendServer, EngineProfile
 from geraniumhall_core.handlers.access import is_open, is_place_for
+from geraniumhall_core.handlers.speeds import find_speed, find_usual_speed
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.planning import (
     PLANNING_POLICIES,
     EngineView,
     PlanQuery,
+    StreamPace,
     choose_decode_engine,
 )
 from geraniumhall_core.prefixes import PartUse, PromptUse
@@ -25,12 +27,14 @@
     """The backend server that a request is sent to next.
 
     With `is_prefill_only` the server only runs prefill. `prefill_tokens` is the
-    expected prefill work there. The first event is expected after
-    `expected_seconds`, which is zero if no estimate was made.
+    expected prefill work there, and `pending_prefill` that work with all that is
+    queued before it, as tokens of an engine that only runs prefill. The first event is
+    expected after `expected_seconds`, which is zero if no estimate was made.
     """
 
     server: str
     prefill_tokens: int = 0
+    pending_prefill: float = 0.0
     expected_seconds: float = 0.0
     is_prefill_only: bool = False
 
@@ -45,7 +49,7 @@
     engine = state.catalogue.find_service(record.service).engine
     if engine is None or not record.request.parts:
         return _place_by_routing(state, record, names, draws)
-    return _place_by_planning(state, record, engine, names, draws[1])
+    return _place_by_planning(state, record, engine, names, now, draws[1])
 
 
 def place_decode(
@@ -54,10 +58,16 @@
     """Return the server that decodes after a prefill, or None if there is none."""
     assert record.kv_cache is not None
     names = _list_usable(state, record, now)
-    views = [_build_engine_view(state, name, ()) for name in names]
+    views = [_build_engine_view(state, name, (), now) for name in names]
     prefill_server = state.catalogue.servers.get(record.kv_cache.server)
     is_local = prefill_server is not None and _is_local(state, prefill_server)
-    chosen = choose_decode_engine(views, is_local, record.request.memory_tokens, draw)
+    chosen = choose_decode_engine(
+        views,
+        is_local,
+        record.request.memory_tokens,
+        draw,
+        _build_pace(state, record, now),
+    )
     return Placement(server=chosen.name) if chosen else None
 
 
@@ -121,27 +131,31 @@
     record: RequestRecord,
     engine: EngineProfile,
     names: list[str],
+    now: float,
     draw: float,
 ) -> Placement | None:
     request = record.request
     shared = sum(part.tokens for part in request.parts[:-1])
+    uses = _list_part_uses(request)
+    views = [_build_engine_view(state, name, uses, now) for name in names]
+    usual = find_usual_speed(state, record.service, now)
     query = PlanQuery(
         prompt_tokens=request.prompt_tokens,
         shared_prefix_tokens=min(shared, request.prompt_tokens),
         shared_prefix_hash=_hash_shared_prefix(request),
-        prefill_rate=state.policy.engine_read_rate,
+        prefill_rate=state.policy.engine_read_rate * usual.prefill,
         kv_transfer_rate=engine.link_rate / engine.token_bytes,
         memory_tokens=request.memory_tokens,
+        pace=_build_pace(state, record, now),
         draw=draw,
     )
-    uses = _list_part_uses(request)
-    views = [_build_engine_view(state, name, uses) for name in names]
     plan = PLANNING_POLICIES.find(state.policy.planning)(views, query)
     if plan is None:
         return None
     return Placement(
         server=plan.server,
         prefill_tokens=plan.prefill_tokens,
+        pending_prefill=plan.pending_prefill,
         expected_seconds=plan.expected_seconds,
         is_prefill_only=plan.is_prefill_only,
     )
@@ -194,7 +208,7 @@
 
 
 def _build_engine_view(
-    state: DaemonState, name: str, uses: Sequence[PartUse]
+    state: DaemonState, name: str, uses: Sequence[PartUse], now: float
 ) -> EngineView:
     server = state.catalogue.servers[name]
     caches = state.prefix_caches
@@ -211,8 +225,17 @@
         cached_tokens=caches.count_cached(name, server.started_at, uses),
         memory_tokens=load.memory_tokens + foreign.memory_tokens,
         memory_capacity=engine.memory_tokens if engine else 0,
+        speed=find_speed(state, name, now),
     )
 
 
+def _build_pace(state: DaemonState, record: RequestRecord, now: float) -> StreamPace:
+    """Return the usual time between two events and the entry's objective for it."""
+    usual = find_usual_speed(state, record.service, now)
+    entry = state.catalogue.entries.get(record.entry)
+    gap = entry.objectives.gap if entry else None
+    return StreamPace(event_seconds=usual.event_seconds, gap_objective=gap)
+
+
 def _is_local(state: DaemonState, server: BackendServer) -> bool:
     return server.failure_domain == state.policy.failure_domain
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
@@ -6,6 +6,7 @@
 from geraniumhall_core.events import PeerMessageReceived
 from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS
 from geraniumhall_core.handlers.placement import add_prompt_use, forget_removed_engines
+from geraniumhall_core.handlers.speeds import add_speed_sample, forget_removed_speeds
 from geraniumhall_core.handlers.summaries import (
     list_receivers,
     note_own_report,
@@ -25,11 +26,13 @@
 def handle_load_report(
     state: DaemonState, event: PeerMessageReceived, message: LoadReport
 ) -> Iterator[Effect]:
-    """Store the load report of another host, and the prompts that it sent."""
+    """Store the load report of another host, its prompts and its samples of speed."""
     state.reports.update(message, event.at)
     note_report(state, message, event.at)
     for use in message.uses:
         add_prompt_use(state, use)
+    for sample in message.speeds:
+        add_speed_sample(state, sample, event.at)
     yield from ()
 
 
@@ -63,6 +66,7 @@
     """
     state.reports.expire(now - EXPIRY_SECONDS)
     forget_removed_engines(state)
+    forget_removed_speeds(state)
 
 
 def _build_load_report(state: DaemonState) -> LoadReport:
@@ -77,4 +81,5 @@
         sequence=state.reporting.sequence,
         work=tuple(work),
         uses=state.prefix_caches.take_unreported(),
+        speeds=state.speeds.take_unreported(),
     )
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -3,6 +3,7 @@
 from geraniumhall_core.effects import LogField, WriteLog
 from geraniumhall_core.events import RequestAbandoned, RequestArrived
 from geraniumhall_core.handlers.placement import Placement
+from geraniumhall_core.handlers.speeds import find_speed
 from geraniumhall_core.refusals import Refusal
 from geraniumhall_core.requests import AttemptOutcome, RequestRecord
 from geraniumhall_core.state import DaemonState
@@ -14,10 +15,12 @@
 ) -> WriteLog:
     """Log the server that a request is sent to, with the load figures used.
 
-    The work of other hosts is estimated from `reporting_hosts` of `other_hosts`.
+    The work of other hosts is estimated from `reporting_hosts` of `other_hosts`. The
+    speeds are relative to the service's usual one.
     """
     load = state.get_load(placement.server)
     foreign = state.estimate_foreign_work(placement.server)
+    speed = find_speed(state, placement.server, now)
     return WriteLog(
         level="info",
         event="request_placed",
@@ -38,6 +41,9 @@
             LogField("other_hosts", state.live_hosts - 1),
             LogField("waited", round(now - record.arrived_at, 4)),
             LogField("expected", round(placement.expected_seconds, 4)),
+            LogField("read_speed", round(speed.prefill, 2)),
+            LogField("decode_speed", round(speed.decode, 2)),
+            LogField("failing", round(speed.failing, 2)),
         ),
     )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/summaries.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/summaries.py
@@ -6,6 +6,7 @@
 from geraniumhall_core.events import PeerMessageReceived
 from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS
 from geraniumhall_core.handlers.placement import add_prompt_use
+from geraniumhall_core.handlers.speeds import add_summed_speeds
 from geraniumhall_core.prefixes import PromptUse
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.reports import LoadReport
@@ -41,6 +42,7 @@
         return
     collecting.asked_at = now
     collecting.uses += report.uses
+    collecting.speeds += report.speeds
 
 
 def note_own_report(state: DaemonState, report: LoadReport) -> None:
@@ -50,6 +52,7 @@
         for row in report.work
     }
     state.collecting.uses += report.uses
+    state.collecting.speeds += report.speeds
 
 
 @PEER_MESSAGE_HANDLERS.register(WorkSummary)
@@ -60,6 +63,7 @@
     collecting = state.collecting
     for use in message.uses:
         add_prompt_use(state, use)
+    add_summed_speeds(state, message.speeds, event.at)
     if not message.failure_domain:
         if not _outranks_known(state, message.host, event.at):
             collecting.total.update(message, event.at)
@@ -67,6 +71,7 @@
         view = collecting.domains.setdefault(message.failure_domain, SummaryView())
         view.update(message, event.at)
         collecting.foreign_uses += message.uses
+        collecting.foreign_speeds += message.speeds
     yield from ()
 
 
@@ -77,8 +82,7 @@
         if collecting.is_collecting:
             collecting.is_collecting = False
             yield _log_collecting("collecting_ended", state)
-        collecting.uses.clear()
-        collecting.foreign_uses.clear()
+        collecting.forget_news()
         return
     if not collecting.is_collecting:
         collecting.is_collecting = True
@@ -90,8 +94,7 @@
     yield from _send(state, _summarize_domain(state), state.policy.failure_domain, now)
     total = _summarize_all(state)
     yield from _send(state, total, "", now)
-    collecting.uses.clear()
-    collecting.foreign_uses.clear()
+    collecting.forget_news()
 
 
 def expire_summaries(state: DaemonState, now: float) -> None:
@@ -143,7 +146,12 @@
     for server, item in own.items():
         work[server] = work.get(server, NO_FOREIGN_WORK).add(item, 1)
     hosts = 1 + len(state.reports.latest)
-    return Summary(hosts=hosts, work=work, uses=_list_uses(state, is_total=False))
+    return Summary(
+        hosts=hosts,
+        work=work,
+        uses=_list_uses(state, is_total=False),
+        speeds=tuple(state.collecting.speeds),
+    )
 
 
 def _summarize_all(state: DaemonState) -> Summary:
@@ -155,7 +163,12 @@
         hosts += view.hosts
         for server, item in view.totals.items():
             work[server] = work.get(server, NO_FOREIGN_WORK).add(item, 1)
-    return Summary(hosts=hosts, work=work, uses=_list_uses(state, is_total=True))
+    return Summary(
+        hosts=hosts,
+        work=work,
+        uses=_list_uses(state, is_total=True),
+        speeds=domain.speeds + tuple(state.collecting.foreign_speeds),
+    )
 
 
 def _list_uses(state: DaemonState, is_total: bool) -> tuple[PromptUse, ...]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -35,6 +35,10 @@
 USABLE_MEMORY_FRACTION = 0.85  # the rest is for work that is not reported yet
 # Each running request adds this fraction to the cost of prefill on its engine.
 PREFILL_INTERFERENCE_FACTOR = 0.05
+# What a caller waits longer if the engine fails the request, or slows its stream to
+# pauses over the objective, which makes the answer late.
+FAILED_ATTEMPT_SECONDS = 1.0
+LATE_STREAM_SECONDS = 1.0
 # Prefill of a token behind this many others costs twice that of the first token.
 ATTENTION_DOUBLING_TOKENS = 74_000
 
@@ -63,6 +67,21 @@
     speed: EngineSpeed = USUAL_SPEED
 
 
+@attrs.frozen(kw_only=True)
+class StreamPace:
+    """The usual pause between two events of a stream, and the longest one allowed.
+
+    Both are in seconds; zero means that the usual pause is not known, and None that
+    there is no objective.
+    """
+
+    event_seconds: float = 0.0
+    gap_objective: float | None = None
+
+
+USUAL_PACE = StreamPace()
+
+
 @attrs.frozen(kw_only=True)
 class PlanQuery:
     """The inputs of a plan.
@@ -72,7 +91,8 @@
     may share; `shared_prefix_hash` is a hash of the last of these parts.
     `prefill_rate` is that of a prefill engine and `kv_transfer_rate` that of a
     transfer between engines, both in tokens a second. `draw`, uniform in [0, 1),
-    decides between engines that are expected to answer equally early.
+    decides between engines that are expected to answer equally early. `pace` is that of
+    the stream on an engine of usual speed.
     """
 
     prompt_tokens: int
@@ -81,6 +101,7 @@
     prefill_rate: float
     kv_transfer_rate: float
     memory_tokens: int = 0
+    pace: StreamPace = USUAL_PACE
     draw: float = 0.0
 
 
@@ -90,11 +111,14 @@
 
     With `is_prefill_only` it runs prefill and another engine decodes; otherwise it
     does both. `prefill_tokens` is the expected prefill work there, and
-    `expected_seconds` the expected time to the first event.
+    `expected_seconds` the expected time to the first event. `pending_prefill` is the
+    prefill work with all that is queued before it, as tokens of an engine of usual
+    speed that only runs prefill.
     """
 
     server: str
     prefill_tokens: int
+    pending_prefill: float = 0.0
     expected_seconds: float = 0.0
     is_prefill_only: bool = False
 
@@ -146,11 +170,13 @@
     is_prefill_local: bool,
     memory_tokens: int,
     draw: float = 0.0,
+    pace: StreamPace = USUAL_PACE,
 ) -> EngineView | None:
     """Return the engine that decodes from a transferred KV cache, or None.
 
     The request takes `memory_tokens` of the engine's memory. `draw`, uniform in
-    [0, 1), decides between engines that are equally good.
+    [0, 1), decides between engines that are equally good. `pace` is that of the stream
+    on an engine of usual speed.
     """
     decode_engines = [
         engine for engine in engines if engine.role is not ServerRole.PREFILL
@@ -162,7 +188,8 @@
         network_delay = (
             0.0 if engine.is_local == is_prefill_local else CROSS_DOMAIN_LATENCY_SECONDS
         )
-        return _estimate_running_delay(engine, memory_tokens) + network_delay
+        running_delay = _estimate_running_delay(engine, memory_tokens)
+        return running_delay + _estimate_stream_delay(engine, pace) + network_delay
 
     return _choose_earliest(decode_engines, estimate, draw)
 
@@ -184,20 +211,25 @@
     )
     running_delay = min(
         _estimate_running_delay(engine, query.memory_tokens)
+        + _estimate_stream_delay(engine, query.pace)
         for engine in decode_engines
     )
 
-    def estimate(engine: EngineView) -> float:
+    def estimate_pending(engine: EngineView) -> float:
         prefill_tokens = _estimate_prefill_tokens(engine, prefix_owner, query)
-        prefill = (engine.queued_prefill_tokens + prefill_tokens) / query.prefill_rate
+        return engine.queued_prefill_tokens + prefill_tokens
+
+    def estimate(engine: EngineView) -> float:
+        rate = query.prefill_rate * engine.speed.prefill
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
-        return prefill + network_delay
+        return estimate_pending(engine) / rate + _estimate_loss(engine) + network_delay
 
     best = _choose_earliest(prefill_engines, estimate, query.draw)
     expected_seconds = estimate(best) + transfer + running_delay
     return expected_seconds, Plan(
         server=best.name,
         prefill_tokens=_estimate_prefill_tokens(best, prefix_owner, query),
+        pending_prefill=estimate_pending(best),
         expected_seconds=expected_seconds,
         is_prefill_only=True,
     )
@@ -212,21 +244,27 @@
     if not decode_engines:
         return float("inf"), None
     prefix_owner = _find_prefix_owner(decode_engines, query)
-    rate = query.prefill_rate * MIXED_PREFILL_RATE_FACTOR
 
-    def estimate(engine: EngineView) -> float:
+    def estimate_pending(engine: EngineView) -> float:
         prefill_tokens = _estimate_prefill_tokens(engine, prefix_owner, query)
-        prefill = (engine.queued_prefill_tokens + prefill_tokens) / rate
-        prefill += prefill_tokens / rate * engine.requests * PREFILL_INTERFERENCE_FACTOR
+        interference = engine.requests * PREFILL_INTERFERENCE_FACTOR
+        pending = engine.queued_prefill_tokens + prefill_tokens * (1 + interference)
+        return pending / MIXED_PREFILL_RATE_FACTOR
+
+    def estimate(engine: EngineView) -> float:
+        rate = query.prefill_rate * engine.speed.prefill
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
         running_delay = _estimate_running_delay(engine, query.memory_tokens)
-        return prefill + running_delay + network_delay
+        stream_delay = _estimate_stream_delay(engine, query.pace)
+        delay = running_delay + stream_delay + network_delay
+        return estimate_pending(engine) / rate + delay
 
     best = _choose_earliest(decode_engines, estimate, query.draw)
     expected_seconds = estimate(best)
     return expected_seconds, Plan(
         server=best.name,
         prefill_tokens=_estimate_prefill_tokens(best, prefix_owner, query),
+        pending_prefill=estimate_pending(best),
         expected_seconds=expected_seconds,
     )
 
@@ -247,7 +285,7 @@
 
 def _estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
     """Return the delay of a new request by running ones, in seconds."""
-    delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS
+    delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS / engine.speed.decode
     if engine.requests >= engine.slots > 0:
         delay += FULL_SLOTS_DELAY_SECONDS
     usable = engine.memory_capacity * USABLE_MEMORY_FRACTION
@@ -257,6 +295,20 @@
     return delay
 
 
+def _estimate_stream_delay(engine: EngineView, pace: StreamPace) -> float:
+    """Return what a stream loses by the engine's pace and failures, in seconds."""
+    pause = pace.event_seconds / engine.speed.decode
+    delay = pause - pace.event_seconds + _estimate_loss(engine)
+    if pace.gap_objective is not None and pause > pace.gap_objective:
+        delay += LATE_STREAM_SECONDS
+    return delay
+
+
+def _estimate_loss(engine: EngineView) -> float:
+    """Return the expected delay of a request by failures of the engine, in seconds."""
+    return engine.speed.failing * FAILED_ATTEMPT_SECONDS
+
+
 def _find_prefix_owner(
     engines: Sequence[EngineView], query: PlanQuery
 ) -> EngineView | None:
--- a/packages/geraniumhall-core/src/geraniumhall_core/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/reports.py
@@ -2,7 +2,8 @@
 
 Whenever its work has changed, a host sends all of it in one datagram. The newest
 report of a host replaces its earlier ones, so that lost, repeated or reordered
-datagrams do no harm. Prompts sent to engines are reported once. Reports only guide
+datagrams do no harm. Prompts sent to engines, and what attempts showed of engines'
+speed, are reported once. Reports only guide
 routing; no guarantee depends on them.
 """
 
@@ -10,6 +11,7 @@
 
 from geraniumhall_core.prefixes import PromptUse
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork
+from geraniumhall_core.speeds import SpeedSample
 
 
 @attrs.frozen
@@ -30,7 +32,8 @@
 class LoadReport:
     """A host's work at all servers; `sequence` increases with every report.
 
-    `uses` are the prompts that it sent to engines since its last report.
+    `uses` are the prompts that it sent to engines since its last report, and `speeds`
+    what its attempts showed of engines' speed since then.
     """
 
     host: str
@@ -38,6 +41,7 @@
     sequence: int
     work: tuple[ServerWork, ...] = ()
     uses: tuple[PromptUse, ...] = ()
+    speeds: tuple[SpeedSample, ...] = ()
 
     @property
     def sort_key(self) -> tuple[int, int]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -108,8 +108,11 @@
     is pending on the current server, as far as this host knows. `kv_cache` refers
     to the prompt's KV cache between prefill and decode. `sent_at` is when the current
     attempt was sent and `began_at` when its answer began, in seconds on the host's
-    clock. A request that tries a held part has its name as `trial_part`. One that
-    `has_asked` other hosts for a token does not ask again.
+    clock. `attempted_at` is when the current attempt or prefill was sent;
+    `pending_prefill` are the tokens that its server had to prefill by then, this
+    prompt included, and `prefill_percent` is the rate that it showed, in percent of the
+    configured one, zero if not measured. A request that tries a held part has its name
+    as `trial_part`. One that `has_asked` other hosts for a token does not ask again.
     """
 
     request: CallerRequest
@@ -133,6 +136,9 @@
     kv_cache: KvCacheRef | None = None
     sent_at: float = float("inf")
     began_at: float | None = None
+    attempted_at: float = float("inf")
+    pending_prefill: float = 0.0
+    prefill_percent: int = 0
     is_proven: bool = False
     is_probing: bool = False
     trial_part: str = ""
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -25,6 +25,7 @@
 from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_core.scaling import ScaleRequest
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork, ServerLoad
+from geraniumhall_core.speeds import SpeedBook
 from geraniumhall_core.summaries import CollectingState
 from geraniumhall_core.usage import UsageLedger, UsageSeals
 
@@ -203,6 +204,7 @@
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
     restrictions: RestrictionsView = attrs.field(factory=RestrictionsView)
     prefix_caches: PrefixCaches = attrs.field(factory=PrefixCaches)
+    speeds: SpeedBook = attrs.field(factory=SpeedBook)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     breaks: dict[CrashId, list[BrokenRequest]] = attrs.field(factory=dict)
     round_robin_index: int = 0
--- a/packages/geraniumhall-core/src/geraniumhall_core/summaries.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/summaries.py
@@ -19,11 +19,13 @@
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.reports import ServerWork
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork
+from geraniumhall_core.speeds import SpeedSample
 
 COLLECTORS_PER_DOMAIN = 2
 MAX_SAMPLED_PEERS = 16
 ROWS_PER_PART = 32  # a part fits into one packet of an Ethernet link
 USES_PER_PART = 16
+SPEEDS_PER_PART = 8
 
 
 @attrs.frozen(kw_only=True)
@@ -90,8 +92,8 @@
 
     It covers the hosts of `failure_domain`, `hosts` in number, or those of all domains
     if that is empty. Part `index` of `count` has the servers whose names hash to it.
-    `uses` are prompts that were sent to engines since the last summary; they belong to
-    no part.
+    `uses` are prompts that were sent to engines since the last summary, and `speeds`
+    what attempts showed of engines' speed; they belong to no part.
     """
 
     host: str
@@ -103,6 +105,7 @@
     count: int
     work: tuple[ServerWork, ...] = ()
     uses: tuple[PromptUse, ...] = ()
+    speeds: tuple[SpeedSample, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -112,6 +115,7 @@
     hosts: int
     work: dict[str, ForeignWork]
     uses: tuple[PromptUse, ...] = ()
+    speeds: tuple[SpeedSample, ...] = ()
 
     def split(
         self, host: str, incarnation: int, sequence: int, failure_domain: str
@@ -123,7 +127,8 @@
         """
         by_rows = -(-len(self.work) // ROWS_PER_PART)
         by_uses = -(-len(self.uses) // USES_PER_PART)
-        count = max(1, by_rows, by_uses)
+        by_speeds = -(-len(self.speeds) // SPEEDS_PER_PART)
+        count = max(1, by_rows, by_uses, by_speeds)
         rows: list[list[ServerWork]] = [[] for _ in range(count)]
         for server, work in self.work.items():
             index = xxh32_intdigest(server) % count
@@ -139,6 +144,7 @@
                 count=count,
                 work=tuple(rows[index]),
                 uses=self.uses[index::count],
+                speeds=self.speeds[index::count],
             )
             for index in range(count)
         )
@@ -199,7 +205,8 @@
     `total` is the newest summary of all hosts, and `domains` the newest one of each
     other failure domain. `asked_at` is when a host of this domain last reported here,
     and `sent_at` when this host last sent a summary. `uses` are prompts that were
-    reported since then, and `foreign_uses` those that other domains summed up.
+    reported since then, and `foreign_uses` those that other domains summed up; `speeds`
+    and `foreign_speeds` are samples of engines' speed in the same way.
     `reported` is this host's own work as it last told its collectors, by server.
 
     The addresses below were derived from the hosts' records and hold until
@@ -215,6 +222,8 @@
     sequence: int = 0
     uses: list[PromptUse] = attrs.field(factory=list)
     foreign_uses: list[PromptUse] = attrs.field(factory=list)
+    speeds: list[SpeedSample] = attrs.field(factory=list)
+    foreign_speeds: list[SpeedSample] = attrs.field(factory=list)
     reported: dict[str, ForeignWork] = attrs.field(factory=dict)
     is_collecting: bool = False
     members_until: float = float("-inf")
@@ -223,6 +232,11 @@
     foreign_collectors: tuple[str, ...] = ()
     ranked: list[str] = attrs.field(factory=list)
 
+    def forget_news(self) -> None:
+        """Drop the prompts and samples that were sent on, or are not to be."""
+        for news in (self.uses, self.foreign_uses, self.speeds, self.foreign_speeds):
+            news.clear()
+
     def estimate_work(self, server: str) -> ForeignWork:
         """Return the other hosts' work at a server, by the summary of all hosts."""
         total = self.total.totals.get(server, NO_FOREIGN_WORK)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -63,7 +63,8 @@
     `is_sent` is set before the request is sent, and `is_complete` once the body
     of the server's response has ended. `deadline`, `next_deadline_update` and
     `last_chunk_at` are on trio's clock; `longest_pause` is the longest time
-    between two chunks. All are in seconds. `notice` is what the server stated of
+    between two chunks. All are in seconds. With `is_server_error` an error response of
+    the server is relayed. `notice` is what the server stated of
     itself, until an event has taken it. `end_reason` tells why an attempt timed out.
     """
 
@@ -79,6 +80,7 @@
     cancel_scope: trio.CancelScope | None = None
     last_chunk_at: float = 0.0
     longest_pause: float = 0.0
+    is_server_error: bool = False
     notice: ReceivedNotice | None = None
     end_reason: str = "the deadline was exceeded"
 
@@ -147,6 +149,7 @@
             return await self._read_failure(kind, head)
         if isinstance(self.effect, PrefillPrompt):
             return await self._read_prefill_result()
+        self.is_server_error = kind is ResponseKind.FAILED
         return await self._relay(head)
 
     def _compute_time_left(self) -> float:
@@ -344,6 +347,8 @@
             wall_time=daemon.clock.read_wall_time(),
             draws=daemon.draw(),
             longest_pause=relay.longest_pause,
+            events=result.scan.events,
+            is_server_error=relay.is_server_error,
             prompt_tokens=result.scan.prompt_tokens,
             generated_tokens=result.scan.generated_tokens,
             reason=result.reason,
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -26,11 +26,12 @@
     ReportedLimit,
     RestrictionReport,
 )
+from geraniumhall_core.speeds import MAX_EVENT_MICROS, MAX_PREFILL_PERCENT, SpeedSample
 from geraniumhall_core.summaries import WorkSummary
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
 from geraniumhall_wire.notices import MAX_REQUEST_LIMIT
 
-FORMAT_VERSION = 3
+FORMAT_VERSION = 4
 MESSAGE_NAMES = {
     LoadReport: "load",
     LoanRequest: "ask",
@@ -79,20 +80,22 @@
 @MESSAGE_DECODERS.register("load")
 def decode_load_report(fields: list[Any]) -> LoadReport:
     """Decode a load report."""
-    host, incarnation, sequence, work, uses = fields
+    host, incarnation, sequence, work, uses, speeds = fields
     return LoadReport(
         host=str(host),
         incarnation=int(incarnation),
         sequence=int(sequence),
         work=_decode_work(work),
         uses=tuple(_decode_use(server, parts) for server, parts in uses),
+        speeds=tuple(_decode_speed(*sample) for sample in speeds),
     )
 
 
 @MESSAGE_DECODERS.register("sum")
 def decode_work_summary(fields: list[Any]) -> WorkSummary:
     """Decode a part of a summary of hosts' work."""
-    host, incarnation, sequence, domain, hosts, index, count, work, uses = fields
+    host, incarnation, sequence, domain, hosts, index, count, *sums = fields
+    work, uses, speeds = sums
     return WorkSummary(
         host=str(host),
         incarnation=int(incarnation),
@@ -103,6 +106,7 @@
         count=_parse_tokens(count),
         work=_decode_work(work),
         uses=tuple(_decode_use(server, parts) for server, parts in uses),
+        speeds=tuple(_decode_speed(*sample) for sample in speeds),
     )
 
 
@@ -233,6 +237,17 @@
     return PromptUse(str(server), uses)
 
 
+def _decode_speed(
+    server: Any, prefill_percent: Any, event_micros: Any, has_failed: Any
+) -> SpeedSample:
+    percent, micros = int(prefill_percent), int(event_micros)
+    if not 0 <= percent <= MAX_PREFILL_PERCENT:
+        raise ValueError(f"prefill rate {percent!r}, expected a percentage")
+    if not 0 <= micros <= MAX_EVENT_MICROS:
+        raise ValueError(f"time between events {micros!r}, expected microseconds")
+    return SpeedSample(str(server), percent, micros, bool(has_failed))
+
+
 def _parse_tokens(value: Any) -> int:
     tokens = int(value)
     if tokens < 0:
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/scanners.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/scanners.py
@@ -23,11 +23,12 @@
 
 @attrs.frozen
 class ScanResult:
-    """Result of a scan; a token count that is not known is zero."""
+    """Result of a scan; a count of tokens or events that is not known is zero."""
 
     is_complete: bool
     prompt_tokens: int = 0
     generated_tokens: int = 0
+    events: int = 0
 
 
 class Scanner(Protocol):
@@ -65,24 +66,28 @@
 
 @attrs.define
 class EventScanner:
-    """Reports a stream as complete if it ends after an event.
+    """Reports a stream as complete if it ends after an event, and counts its events.
 
     `tail` holds the last bytes, as many as an event's end can have. With
-    `needs_event` a stream without any event is not complete.
+    `needs_event` a stream without any event is not complete. An event whose end is
+    split between two chunks is not counted.
     """
 
     needs_event: bool
     tail: bytes = b""
+    events: int = 0
 
     def feed(self, chunk: bytes) -> None:
-        """Keep the last bytes."""
+        """Count the events that end in the chunk, and keep the last bytes."""
+        self.events += chunk.count(EVENT_ENDS[0])
         self.tail = (self.tail + chunk)[-MAX_EVENT_END_BYTES:]
 
     def finish(self) -> ScanResult:
-        """Return whether the last event is whole, without counts."""
+        """Return whether the last event is whole, and the number of events."""
         if not self.tail:
             return ScanResult(is_complete=not self.needs_event)
-        return ScanResult(is_complete=self.tail.endswith(EVENT_ENDS))
+        is_complete = self.tail.endswith(EVENT_ENDS)
+        return ScanResult(is_complete=is_complete, events=self.events)
 
 
 @SCANNERS.register(b"text/event-stream")
--- a/packages/geraniumhall-wire/tests/test_peers.py
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -18,6 +18,7 @@
     ReportedLimit,
     RestrictionReport,
 )
+from geraniumhall_core.speeds import SpeedSample
 from geraniumhall_core.summaries import WorkSummary
 from geraniumhall_wire.converter import InvalidDataError
 from geraniumhall_wire.peers import (
@@ -36,6 +37,12 @@
         sequence=2,
         uses=(PromptUse("e1", (PartUse(7, 900), PartUse(2**32 - 1, 40))),),
     ),
+    LoadReport(
+        host="h1",
+        incarnation=1,
+        sequence=3,
+        speeds=(SpeedSample("e1", 85, 47_000), SpeedSample("e2", has_failed=True)),
+    ),
     WorkSummary(
         host="h1",
         incarnation=7 << 40,
@@ -46,6 +53,7 @@
         count=2,
         work=WORK,
         uses=(PromptUse("e1", (PartUse(7, 900),)),),
+        speeds=(SpeedSample("e1", 85, 47_000),),
     ),
     LoanRequest(
         host="h1", address="10.0.0.1:7", workspace="audit", amount=5.5, number=2
@@ -123,6 +131,25 @@
         )
         self.assertLess(size, 32)
 
+    def test_reported_speed_is_small(self) -> None:
+        """What two attempts showed needs less than 10 bytes each in a report."""
+        size = len(encode_peer_message(MESSAGES[3])) - len(
+            encode_peer_message(MESSAGES[1])
+        )
+        self.assertLess(size, 2 * 10)
+
+    def test_speeds_out_of_range_are_rejected(self) -> None:
+        """An absurd rate or pause would distort what counts as usual."""
+        for sample in (
+            SpeedSample("e1", -1),
+            SpeedSample("e1", 10**6),
+            SpeedSample("e1", 0, -1),
+            SpeedSample("e1", 0, 10**9),
+        ):
+            report = LoadReport(host="h1", incarnation=1, sequence=1, speeds=(sample,))
+            with self.subTest(sample=sample), self.assertRaises(InvalidDataError):
+                decode_peer_message(encode_peer_message(report))
+
     def test_negative_token_counts_are_rejected(self) -> None:
         """A part of fewer than no tokens would let a cache grow without a bound."""
         use = PromptUse("e1", (PartUse(7, -1),))
