Weigh what is kept of a prompt against the wait

Cause: requests went to the engine with the earliest first event, as if an engine's time cost nothing and a part once sent to it were kept for good. Beginnings were read again elsewhere whenever that saved their caller a little time, and engines were taken to keep parts that had long yielded to others.

Change: the planning policy `kept_prompt` adds up, for each engine, the wait at its learned speed, the engine time that the request takes, what is late past the objective, and the price of another copy of the shared beginning, which falls with its recent uses and rises as memory fills. A kept part counts less the more was used since and runs there.

Ruled out: counting the time of a second read both as the request's work and as the price of the copy (a beginning that many want then never spread); a fixed fraction of the memory as the bound for old parts (engines differ in what runs there).

--- a/packages/geraniumhall-core/src/geraniumhall_core/__init__.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/__init__.py
@@ -3,6 +3,7 @@
 Nothing in this package does I/O, reads a clock or draws random numbers.
 """
 
+import geraniumhall_core.kept_prompts  # noqa: F401  # fills a registry
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.reducer import Effect, Event, Reducer
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -30,7 +30,8 @@
     this host's share of the server's connection limit. `workspace` is empty for a
     caller without a key. `priority` is passed to the server for its scheduling;
     zero is the most urgent. `started_at` names the server's incarnation, and `sent_at`
-    is the time of the decision, in seconds on the host's clock.
+    is the time of the decision, in seconds on the host's clock. With `fetch_address`
+    the server first fetches what the engine there keeps of the prompt.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     max_connections: int | None = None
     workspace: str = ""
     priority: int | None = None
+    fetch_address: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -276,6 +276,7 @@
             max_connections=state.compute_connection_share(placement.server),
             workspace=record.workspace,
             priority=record.priority,
+            fetch_address=_find_address(state, placement.fetches_from),
         )
     else:
         yield _send_request(state, record, placement, now)
@@ -319,11 +320,18 @@
         max_connections=state.compute_connection_share(placement.server),
         workspace=record.workspace,
         priority=record.priority,
+        fetch_address=_find_address(state, placement.fetches_from),
         kv_cache=record.kv_cache,
         hides_errors=can_retry_error(state, record, now),
     )
 
 
+def _find_address(state: DaemonState, server: str) -> str:
+    """Return a server's address, empty for none."""
+    record = state.catalogue.servers.get(server)
+    return record.address if record else ""
+
+
 def _wait_or_refuse(
     state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
@@ -359,7 +367,7 @@
     record.tried_servers.add(placement.server)
     load = state.get_load(placement.server)
     load.start_work(placement.prefill_tokens, record.request.memory_tokens)
-    record_prompt_use(state, record, placement.server)
+    record_prompt_use(state, record, placement.server, now)
     state.reporting.is_dirty = True
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -29,12 +29,18 @@
     With `is_prefill_only` the server only runs prefill. `prefill_tokens` is the
     expected prefill work there, and `pending_prefill` that work with all that is
     queued before it, as tokens of an engine that only runs prefill. The first event is
-    expected after `expected_seconds`, which is zero if no estimate was made.
+    expected after `expected_seconds`, which is zero if no estimate was made. With
+    `fetches_from` the server first fetches what that one keeps of the prompt.
+    `kept_tokens` of the prompt are expected to be held there or fetched, and
+    `copy_seconds` is what another copy of the shared parts was priced at.
     """
 
     server: str
     prefill_tokens: int = 0
     pending_prefill: float = 0.0
+    fetches_from: str = ""
+    kept_tokens: float = 0.0
+    copy_seconds: float = 0.0
     expected_seconds: float = 0.0
     is_prefill_only: bool = False
 
@@ -148,6 +154,8 @@
         memory_tokens=request.memory_tokens,
         pace=_build_pace(state, record, now),
         draw=draw,
+        shared_use_rate=state.prefix_caches.compute_use_rate(uses, now),
+        objective=_compute_objective_left(state, record, now),
     )
     plan = PLANNING_POLICIES.find(state.policy.planning)(views, query)
     if plan is None:
@@ -156,20 +164,35 @@
         server=plan.server,
         prefill_tokens=plan.prefill_tokens,
         pending_prefill=plan.pending_prefill,
+        fetches_from=plan.fetches_from,
+        kept_tokens=plan.kept_tokens,
+        copy_seconds=plan.copy_seconds,
         expected_seconds=plan.expected_seconds,
         is_prefill_only=plan.is_prefill_only,
     )
 
 
-def record_prompt_use(state: DaemonState, record: RequestRecord, server: str) -> None:
+def _compute_objective_left(
+    state: DaemonState, record: RequestRecord, now: float
+) -> float | None:
+    """Return the seconds left of the entry's objective, None without one."""
+    entry = state.catalogue.entries.get(record.entry)
+    if entry is None or entry.objectives.first_answer is None:
+        return None
+    return max(0.0, record.arrived_at + entry.objectives.first_answer - now)
+
+
+def record_prompt_use(
+    state: DaemonState, record: RequestRecord, server: str, now: float
+) -> None:
     """Record that an engine gets a request's prompt, to be reported to other hosts."""
     if record.request.parts:
         use = PromptUse(server, _list_part_uses(record.request))
-        if add_prompt_use(state, use) and state.policy.peer_address:
+        if add_prompt_use(state, use, now) and state.policy.peer_address:
             state.prefix_caches.unreported.append(use)
 
 
-def add_prompt_use(state: DaemonState, use: PromptUse) -> bool:
+def add_prompt_use(state: DaemonState, use: PromptUse, now: float = 0.0) -> bool:
     """Add a use to the inferred caches; return False for a server without one."""
     server = state.catalogue.servers.get(use.server)
     if server is None:
@@ -177,12 +200,14 @@
     engine = state.catalogue.find_service(server.service).engine
     if engine is None:
         return False
-    state.prefix_caches.add_use(use, server.started_at, engine.memory_tokens)
+    capacity = engine.memory_tokens
+    state.prefix_caches.add_use(use, server.started_at, capacity, now)
     return True
 
 
-def forget_removed_engines(state: DaemonState) -> None:
-    """Drop the inferred caches of servers that are gone."""
+def forget_removed_engines(state: DaemonState, now: float) -> None:
+    """Drop the inferred caches of servers that are gone, and counts of unused parts."""
+    state.prefix_caches.forget_unused(now)
     engines = state.prefix_caches.engines
     for name in engines.keys() - state.catalogue.servers.keys():
         del engines[name]
@@ -215,6 +240,7 @@
     engine = state.catalogue.find_service(server.service).engine
     load = state.get_load(name)
     foreign = state.estimate_foreign_work(name)
+    running_tokens = load.memory_tokens + foreign.memory_tokens
     return EngineView(
         name=name,
         role=server.role,
@@ -223,8 +249,9 @@
         requests=load.outstanding + foreign.requests,
         slots=server.slots,
         cached_tokens=caches.count_cached(name, server.started_at, uses),
-        memory_tokens=load.memory_tokens + foreign.memory_tokens,
+        memory_tokens=running_tokens,
         memory_capacity=engine.memory_tokens if engine else 0,
+        kept_tokens=caches.estimate_kept(name, server.started_at, uses, running_tokens),
         speed=find_speed(state, name, now),
     )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/reports.py
@@ -30,7 +30,7 @@
     state.reports.update(message, event.at)
     note_report(state, message, event.at)
     for use in message.uses:
-        add_prompt_use(state, use)
+        add_prompt_use(state, use, event.at)
     for sample in message.speeds:
         add_speed_sample(state, sample, event.at)
     yield from ()
@@ -65,7 +65,7 @@
     What was inferred of engines that are gone is dropped too.
     """
     state.reports.expire(now - EXPIRY_SECONDS)
-    forget_removed_engines(state)
+    forget_removed_engines(state, now)
     forget_removed_speeds(state)
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -16,6 +16,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import attrs
 from xxhash import xxh64_intdigest
@@ -51,8 +52,9 @@
     `requests` are in progress. `is_local` is true if the engine is in the host's
     failure domain. `cached_tokens` of the prompt are assumed in its prefix cache.
     The requests in progress take `memory_tokens` of its `memory_capacity`, also in
-    tokens; with a capacity of zero its memory never counts as full. `speed` is
-    relative to the usual speed of its service.
+    tokens; with a capacity of zero its memory never counts as full. `kept_tokens` are
+    expected in its cache if parts that may have yielded to others count less. `speed`
+    is relative to the usual speed of its service.
     """
 
     name: str
@@ -64,6 +66,7 @@
     cached_tokens: int = 0
     memory_tokens: float = 0
     memory_capacity: int = 0
+    kept_tokens: float = 0.0
     speed: EngineSpeed = USUAL_SPEED
 
 
@@ -92,7 +95,9 @@
     `prefill_rate` is that of a prefill engine and `kv_transfer_rate` that of a
     transfer between engines, both in tokens a second. `draw`, uniform in [0, 1),
     decides between engines that are expected to answer equally early. `pace` is that of
-    the stream on an engine of usual speed.
+    the stream on an engine of usual speed. The last shared part is used
+    `shared_use_rate` times a second over all hosts. The first event is wanted within
+    `objective` seconds, None without an objective.
     """
 
     prompt_tokens: int
@@ -103,6 +108,8 @@
     memory_tokens: int = 0
     pace: StreamPace = USUAL_PACE
     draw: float = 0.0
+    shared_use_rate: float = 0.0
+    objective: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -113,16 +120,22 @@
     does both. `prefill_tokens` is the expected prefill work there, and
     `expected_seconds` the expected time to the first event. `pending_prefill` is the
     prefill work with all that is queued before it, as tokens of an engine of usual
-    speed that only runs prefill.
+    speed that only runs prefill. With `fetches_from` the engine first fetches what that
+    one keeps of the prompt. `kept_tokens` of the prompt are expected to be held or
+    fetched, and `copy_seconds` is the price of another copy of the shared parts.
     """
 
     server: str
     prefill_tokens: int
     pending_prefill: float = 0.0
+    fetches_from: str = ""
+    kept_tokens: float = 0.0
+    copy_seconds: float = 0.0
     expected_seconds: float = 0.0
     is_prefill_only: bool = False
 
 
+Chosen = TypeVar("Chosen")
 PlanningPolicy = Callable[[Sequence[EngineView], PlanQuery], Plan | None]
 PLANNING_POLICIES: Registry[str, PlanningPolicy] = Registry("planning policy")
 
@@ -188,10 +201,10 @@
         network_delay = (
             0.0 if engine.is_local == is_prefill_local else CROSS_DOMAIN_LATENCY_SECONDS
         )
-        running_delay = _estimate_running_delay(engine, memory_tokens)
-        return running_delay + _estimate_stream_delay(engine, pace) + network_delay
+        running_delay = estimate_running_delay(engine, memory_tokens)
+        return running_delay + estimate_stream_delay(engine, pace) + network_delay
 
-    return _choose_earliest(decode_engines, estimate, draw)
+    return choose_earliest(decode_engines, estimate, draw)
 
 
 def _plan_disaggregated(
@@ -210,8 +223,8 @@
         KV_TRANSFER_OVERHEAD_SECONDS + query.prompt_tokens / query.kv_transfer_rate
     )
     running_delay = min(
-        _estimate_running_delay(engine, query.memory_tokens)
-        + _estimate_stream_delay(engine, query.pace)
+        estimate_running_delay(engine, query.memory_tokens)
+        + estimate_stream_delay(engine, query.pace)
         for engine in decode_engines
     )
 
@@ -222,9 +235,9 @@
     def estimate(engine: EngineView) -> float:
         rate = query.prefill_rate * engine.speed.prefill
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
-        return estimate_pending(engine) / rate + _estimate_loss(engine) + network_delay
+        return estimate_pending(engine) / rate + estimate_loss(engine) + network_delay
 
-    best = _choose_earliest(prefill_engines, estimate, query.draw)
+    best = choose_earliest(prefill_engines, estimate, query.draw)
     expected_seconds = estimate(best) + transfer + running_delay
     return expected_seconds, Plan(
         server=best.name,
@@ -254,12 +267,12 @@
     def estimate(engine: EngineView) -> float:
         rate = query.prefill_rate * engine.speed.prefill
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
-        running_delay = _estimate_running_delay(engine, query.memory_tokens)
-        stream_delay = _estimate_stream_delay(engine, query.pace)
+        running_delay = estimate_running_delay(engine, query.memory_tokens)
+        stream_delay = estimate_stream_delay(engine, query.pace)
         delay = running_delay + stream_delay + network_delay
         return estimate_pending(engine) / rate + delay
 
-    best = _choose_earliest(decode_engines, estimate, query.draw)
+    best = choose_earliest(decode_engines, estimate, query.draw)
     expected_seconds = estimate(best)
     return expected_seconds, Plan(
         server=best.name,
@@ -269,21 +282,21 @@
     )
 
 
-def _choose_earliest(
-    engines: Sequence[EngineView], estimate: Callable[[EngineView], float], draw: float
-) -> EngineView:
-    """Return one of the engines with the least estimate, by `draw`.
+def choose_earliest(
+    options: Sequence[Chosen], estimate: Callable[[Chosen], float], draw: float
+) -> Chosen:
+    """Return one of the options with the least estimate, by `draw`.
 
     Hosts that know little of each other's work see many engines as equally idle. A
     fixed order among these would make all hosts choose the same one.
     """
-    estimates = [estimate(engine) for engine in engines]
+    estimates = [estimate(option) for option in options]
     least = min(estimates)
-    tied = [e for e, value in zip(engines, estimates, strict=True) if value == least]
+    tied = [o for o, value in zip(options, estimates, strict=True) if value == least]
     return tied[int(draw * len(tied))]
 
 
-def _estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
+def estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
     """Return the delay of a new request by running ones, in seconds."""
     delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS / engine.speed.decode
     if engine.requests >= engine.slots > 0:
@@ -295,16 +308,16 @@
     return delay
 
 
-def _estimate_stream_delay(engine: EngineView, pace: StreamPace) -> float:
+def estimate_stream_delay(engine: EngineView, pace: StreamPace) -> float:
     """Return what a stream loses by the engine's pace and failures, in seconds."""
     pause = pace.event_seconds / engine.speed.decode
-    delay = pause - pace.event_seconds + _estimate_loss(engine)
+    delay = pause - pace.event_seconds + estimate_loss(engine)
     if pace.gap_objective is not None and pause > pace.gap_objective:
         delay += LATE_STREAM_SECONDS
     return delay
 
 
-def _estimate_loss(engine: EngineView) -> float:
+def estimate_loss(engine: EngineView) -> float:
     """Return the expected delay of a request by failures of the engine, in seconds."""
     return engine.speed.failing * FAILED_ATTEMPT_SECONDS
 
@@ -325,13 +338,18 @@
 def _estimate_prefill_tokens(
     engine: EngineView, prefix_owner: EngineView | None, query: PlanQuery
 ) -> int:
-    """Return the prefill cost on an engine, in units of a prompt's first token.
+    """Return the prefill cost on an engine, in units of a prompt's first token."""
+    cached = engine.cached_tokens
+    if engine is prefix_owner:
+        cached = max(cached, query.shared_prefix_tokens)
+    return estimate_read_cost(query.prompt_tokens, cached)
+
+
+def estimate_read_cost(prompt_tokens: int, cached_tokens: int) -> int:
+    """Return the cost of reading what is not cached, in units of a first token.
 
     Attention makes a token cost more with the number of tokens before it.
     """
-    cached = min(engine.cached_tokens, query.prompt_tokens)
-    if engine is prefix_owner:
-        cached = max(cached, query.shared_prefix_tokens)
-    uncached = query.prompt_tokens - cached
-    preceding = query.prompt_tokens - uncached / 2
+    uncached = prompt_tokens - min(cached_tokens, prompt_tokens)
+    preceding = prompt_tokens - uncached / 2
     return int(uncached * (1 + preceding / ATTENTION_DOUBLING_TOKENS))
--- a/packages/geraniumhall-core/src/geraniumhall_core/prefixes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/prefixes.py
@@ -5,10 +5,15 @@
 which engine, and the other hosts report theirs. From these uses it infers what each
 engine holds. The inference only guides placement: a part that is missing after all
 is prefilled again.
+
+Other requests that run there take memory too, so a part that was not used for some time
+may be gone. How likely it is still held is bounded from both sides: the engine needs at
+least the larger, and at most the sum, of what was used since and of what runs there.
 """
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from math import log
 
 import attrs
 from xxhash import xxh32_intdigest
@@ -16,6 +21,8 @@
 from geraniumhall_core.requests import PromptPart
 
 BLOCK_TOKENS = 16  # the least memory that an engine uses for a part
+USE_HALF_LIFE_SECONDS = 5.0  # of a use of a shared part, in the rate of its uses
+MIN_USES = 0.05  # a part with fewer recent uses counts as not used
 
 
 @attrs.frozen
@@ -44,13 +51,16 @@
     """The parts that one incarnation of an engine is assumed to hold.
 
     `tokens_by_key` is in order of use, the least recent first. It holds at most
-    `capacity` tokens.
+    `capacity` tokens. `added_tokens` counts the tokens of all uses, and `marks` has its
+    value as of the last use of each part.
     """
 
     incarnation: int
     capacity: int
     tokens_by_key: OrderedDict[int, int] = attrs.field(factory=OrderedDict)
     used_tokens: int = 0
+    added_tokens: int = 0
+    marks: dict[int, int] = attrs.field(factory=dict)
 
     def add_use(self, parts: Sequence[PartUse]) -> None:
         """Record that the engine prefills a prompt, and drop what no longer fits."""
@@ -58,8 +68,11 @@
             tokens = max(part.tokens, BLOCK_TOKENS)
             self.used_tokens += tokens - self.tokens_by_key.pop(part.key, 0)
             self.tokens_by_key[part.key] = tokens
+            self.added_tokens += tokens
+            self.marks[part.key] = self.added_tokens
         while self.used_tokens > self.capacity:
-            _, tokens = self.tokens_by_key.popitem(last=False)
+            key, tokens = self.tokens_by_key.popitem(last=False)
+            del self.marks[key]
             self.used_tokens -= tokens
 
     def count_cached(self, parts: Sequence[PartUse]) -> int:
@@ -71,22 +84,65 @@
             total += part.tokens
         return total
 
+    def estimate_kept(self, parts: Sequence[PartUse], running_tokens: float) -> float:
+        """Return the expected tokens of a prompt's leading parts that it still holds.
+
+        Running requests take `running_tokens` of its memory.
+        """
+        total, chance = 0.0, 1.0
+        for part in parts:
+            mark = self.marks.get(part.key)
+            if mark is None:
+                break
+            newer = min(self.added_tokens - mark, self.used_tokens)
+            needed = running_tokens + newer
+            if needed > self.capacity:
+                least = max(running_tokens, newer)
+                left = max(0.0, self.capacity - least) / (needed - least)
+                chance = min(chance, left)
+            total += part.tokens * chance
+        return total
+
+
+@attrs.define
+class PartUses:
+    """The recent uses of a shared part; `count` is as of `counted_at` seconds."""
+
+    count: float = 0.0
+    counted_at: float = 0.0
+
+    def add(self, now: float) -> None:
+        """Count one use."""
+        self.count = self.compute_count(now) + 1
+        self.counted_at = now
+
+    def compute_count(self, now: float) -> float:
+        """Return the count, in which each use halves every half-life."""
+        return self.count * 0.5 ** ((now - self.counted_at) / USE_HALF_LIFE_SECONDS)
+
 
 @attrs.define
 class PrefixCaches:
     """The inferred caches of all engines by server.
 
     `unreported` holds this host's uses since its last report to other hosts.
+    `shared_uses` counts the uses of each part that is the last shared one of a prompt.
     """
 
     engines: dict[str, EngineCache] = attrs.field(factory=dict)
     unreported: list[PromptUse] = attrs.field(factory=list)
+    shared_uses: dict[int, PartUses] = attrs.field(factory=dict)
 
-    def add_use(self, use: PromptUse, incarnation: int, capacity: int) -> None:
+    def add_use(
+        self, use: PromptUse, incarnation: int, capacity: int, now: float = 0.0
+    ) -> None:
         """Record a prompt sent to an engine; a new incarnation starts empty.
 
-        `capacity` is in tokens.
+        `capacity` is in tokens, and `now` in seconds on the host's clock.
         """
+        if len(use.parts) > 1:
+            uses = self.shared_uses.setdefault(use.parts[-2].key, PartUses())
+            uses.add(now)
         cache = self.engines.get(use.server)
         if cache is None or cache.incarnation != incarnation:
             cache = EngineCache(incarnation, capacity)
@@ -102,6 +158,32 @@
             return 0
         return cache.count_cached(parts)
 
+    def estimate_kept(
+        self,
+        server: str,
+        incarnation: int,
+        parts: Sequence[PartUse],
+        running_tokens: float,
+    ) -> float:
+        """Return the expected tokens of leading parts that an engine still holds."""
+        cache = self.engines.get(server)
+        if cache is None or cache.incarnation != incarnation:
+            return 0.0
+        return cache.estimate_kept(parts, running_tokens)
+
+    def compute_use_rate(self, parts: Sequence[PartUse], now: float) -> float:
+        """Return how often a prompt's last shared part is used, in uses a second."""
+        if len(parts) < 2 or parts[-2].key not in self.shared_uses:
+            return 0.0
+        count = self.shared_uses[parts[-2].key].compute_count(now)
+        return count * log(2) / USE_HALF_LIFE_SECONDS
+
+    def forget_unused(self, now: float) -> None:
+        """Drop the counts of shared parts that are not used any more."""
+        for key, uses in list(self.shared_uses.items()):
+            if uses.compute_count(now) < MIN_USES:
+                del self.shared_uses[key]
+
     def take_unreported(self) -> tuple[PromptUse, ...]:
         """Return this host's uses since the last call."""
         uses, self.unreported = tuple(self.unreported), []
