Price the pauses that a prefill causes in an engine's streams

Change: StreamPace estimates how likely an engine's streams pause for too long, from the learned time between events, its speed and what it has to read besides. kept_prompt adds that, for each request running there, to the price of a prompt that the engine would read between their tokens; the choice of the engine that decodes counts what is queued there. Without learned speeds the time between events is not known, and nothing changes.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -10,6 +10,7 @@
 from geraniumhall_core.handlers.speeds import find_speed, find_usual_speed
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.planning import (
+    MIXED_PREFILL_RATE_FACTOR,
     PLANNING_POLICIES,
     EngineView,
     PlanQuery,
@@ -261,7 +262,10 @@
     usual = find_usual_speed(state, record.service, now)
     entry = state.catalogue.entries.get(record.entry)
     gap = entry.objectives.gap if entry else None
-    return StreamPace(event_seconds=usual.event_seconds, gap_objective=gap)
+    rate = state.policy.engine_read_rate * usual.prefill * MIXED_PREFILL_RATE_FACTOR
+    return StreamPace(
+        event_seconds=usual.event_seconds, gap_objective=gap, mixed_prefill_rate=rate
+    )
 
 
 def _is_local(state: DaemonState, server: BackendServer) -> bool:
--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -8,6 +8,7 @@
   requests and memory, and the part of the prompt that it is not expected to keep,
 - the time of engines that the request takes,
 - what is late if the first event comes after the objective,
+- the streams that the engine generates and that the prefill makes pause for too long,
 - the price of another copy of the shared beginning, if a different engine keeps it.
 
 A copy costs the engine time of reading it, and more if it pushes out parts that others
@@ -26,9 +27,11 @@
 from geraniumhall_core.planning import (
     CROSS_DOMAIN_LATENCY_SECONDS,
     KV_TRANSFER_OVERHEAD_SECONDS,
+    LATE_STREAM_SECONDS,
     MIXED_PREFILL_RATE_FACTOR,
     PLANNING_POLICIES,
     PREFILL_INTERFERENCE_FACTOR,
+    SAFE_OBJECTIVE_FRACTION,
     EngineView,
     Plan,
     PlanQuery,
@@ -42,8 +45,6 @@
 # A caller who waits within the objective loses less than one whose engine's time is
 # taken by others: the answer earns the same, while that time is gone.
 WAIT_WEIGHT = 0.5
-# The estimate errs by some tenths of the objective, so that the rest is kept free.
-SAFE_OBJECTIVE_FRACTION = 0.6
 LATE_WEIGHT = 2.0
 # Engines keep a part for some seconds, in which a copy may serve other requests.
 RETENTION_SECONDS = 10.0
@@ -248,7 +249,10 @@
         is_prefill_only=candidate.is_prefill_only,
     )
     work = read / candidate.rate - (copy_work if rereads else 0.0)
-    return Option(plan=plan, price=_price_wait(expected, query) + work + copy_seconds)
+    price = _price_wait(expected, query) + work + copy_seconds
+    if not candidate.is_prefill_only:
+        price += _price_pauses(engine, read, query)
+    return Option(plan=plan, price=price)
 
 
 def _price_wait(seconds: float, query: PlanQuery) -> float:
@@ -259,6 +263,13 @@
     return seconds * WAIT_WEIGHT + late * LATE_WEIGHT
 
 
+def _price_pauses(engine: EngineView, read: float, query: PlanQuery) -> float:
+    """Return the price of pauses that a prefill causes in the engine's streams."""
+    pace = query.pace
+    more_late = pace.estimate_lateness(engine, read) - pace.estimate_lateness(engine)
+    return engine.requests * more_late * LATE_STREAM_SECONDS
+
+
 def _price_copy(engine: EngineView, situation: _Situation, copy_work: float) -> float:
     """Return the price of another copy of the shared parts, in seconds."""
     pressure = 0.0
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -40,6 +40,8 @@
 # pauses over the objective, which makes the answer late.
 FAILED_ATTEMPT_SECONDS = 1.0
 LATE_STREAM_SECONDS = 1.0
+# Estimates err by some tenths of an objective, so that the rest is kept free.
+SAFE_OBJECTIVE_FRACTION = 0.6
 # Prefill of a token behind this many others costs twice that of the first token.
 ATTENTION_DOUBLING_TOKENS = 74_000
 
@@ -75,11 +77,28 @@
     """The usual pause between two events of a stream, and the longest one allowed.
 
     Both are in seconds; zero means that the usual pause is not known, and None that
-    there is no objective.
+    there is no objective. What an engine prefills between the tokens of its streams, at
+    `mixed_prefill_rate` tokens a second, makes the pauses longer.
     """
 
     event_seconds: float = 0.0
     gap_objective: float | None = None
+    mixed_prefill_rate: float = float("inf")
+
+    def estimate_lateness(self, engine: EngineView, more_tokens: float = 0.0) -> float:
+        """Return how likely streams of an engine pause for too long.
+
+        It prefills `more_tokens` besides those that are queued there. Pauses are
+        expected with an error of some tenths, so that the likelihood rises from zero
+        at `SAFE_OBJECTIVE_FRACTION` of the objective to one at the objective.
+        """
+        if self.gap_objective is None or not self.event_seconds:
+            return 0.0
+        rate = self.mixed_prefill_rate * engine.speed.prefill
+        pause = self.event_seconds / engine.speed.decode
+        pause += (engine.queued_prefill_tokens + more_tokens) / rate
+        safe = self.gap_objective * SAFE_OBJECTIVE_FRACTION
+        return min(1.0, max(0.0, (pause - safe) / (self.gap_objective - safe)))
 
 
 USUAL_PACE = StreamPace()
@@ -310,11 +329,9 @@
 
 def estimate_stream_delay(engine: EngineView, pace: StreamPace) -> float:
     """Return what a stream loses by the engine's pace and failures, in seconds."""
-    pause = pace.event_seconds / engine.speed.decode
-    delay = pause - pace.event_seconds + estimate_loss(engine)
-    if pace.gap_objective is not None and pause > pace.gap_objective:
-        delay += LATE_STREAM_SECONDS
-    return delay
+    delay = pace.event_seconds / engine.speed.decode - pace.event_seconds
+    delay += pace.estimate_lateness(engine) * LATE_STREAM_SECONDS
+    return delay + estimate_loss(engine)
 
 
 def estimate_loss(engine: EngineView) -> float:
--- a/packages/geraniumhall-core/tests/test_kept_prompts.py
+++ b/packages/geraniumhall-core/tests/test_kept_prompts.py
@@ -11,18 +11,33 @@
 from random import Random
 
 import attrs
-
+from builders import apply_feed_answer, build_open_entry, build_state, reduce
+
+from geraniumhall_core.catalogue import (
+    BackendServer,
+    Configuration,
+    EngineProfile,
+    Service,
+    ServiceClass,
+)
+from geraniumhall_core.effects import PrefillPrompt, RelayRequest, ServerAttempt
+from geraniumhall_core.events import RequestArrived
 from geraniumhall_core.kept_prompts import plan_by_kept_prompt, plan_without_fetching
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.planning import (
     EngineView,
     Plan,
     PlanQuery,
+    StreamPace,
     plan_by_rendezvous,
     plan_earliest_answer,
 )
+from geraniumhall_core.platform import Changes, Feed
 from geraniumhall_core.prefixes import EngineCache, PartUse, PrefixCaches, PromptUse
+from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.requests import CallerRequest, PathTarget, PromptPart
 from geraniumhall_core.speeds import EngineSpeed
+from geraniumhall_core.state import DaemonState
 
 SHARED_TOKENS = 5_400
 OWN_TOKENS = 6_600
@@ -145,6 +160,17 @@
         )
         self.assertEqual((plan.server, plan.fetches_from), ("p2", ""))
 
+    def test_streams_are_not_made_to_pause(self) -> None:
+        """A prompt is not read between the tokens of many streams with an objective."""
+        pace = StreamPace(
+            event_seconds=0.05, gap_objective=0.2, mixed_prefill_rate=READ_RATE / 2
+        )
+        busy = build_engine("p1", queued_prefill_tokens=30_000)
+        decoding = build_engine("d", role=ServerRole.DECODE, requests=3)
+        for known, server in ((pace, "p1"), (StreamPace(), "d")):
+            plan = plan_by_kept_prompt([busy, decoding], build_query(pace=known))
+            self.assertEqual(plan.server, server)
+
     def test_no_plan_without_decode_engines(self) -> None:
         """Prefill engines alone can't generate a response."""
         self.assertIsNone(plan_by_kept_prompt([build_engine("p1")], build_query()))
@@ -188,6 +214,71 @@
         self.assertEqual(caches.shared_uses, {})
 
 
+class HostTest(unittest.TestCase):
+    """A host applies the policy to the engines and uses that it knows."""
+
+    def build(self) -> DaemonState:
+        """Return a state with two prefill engines and one that decodes."""
+        state = build_state(policy={"planning": "kept_prompt"})
+        entry = build_open_entry(ServiceClass.MODEL, "/m/", "llm")
+        profile = EngineProfile(
+            slots=64, memory_tokens=400_000, token_bytes=10, link_rate=1e9, handle_ttl=5
+        )
+        configuration = Configuration(
+            version=1, entries={"m": entry}, services={"llm": Service(engine=profile)}
+        )
+        key = ObjectKey("configuration", "main")
+        change = VersionedRecord(key, 101, configuration)
+        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, (change,)))
+        roles = {"p1": ServerRole.PREFILL, "p2": ServerRole.PREFILL}
+        for number, (name, role) in enumerate(
+            [*roles.items(), ("d", ServerRole.DECODE)]
+        ):
+            server = BackendServer(
+                address=f"10.0.0.{number}:80",
+                failure_domain="a",
+                service="llm",
+                role=role,
+            )
+            key = ObjectKey("registered_server", name)
+            change = VersionedRecord(key, 102 + number, server)
+            apply_feed_answer(state, Feed.SERVERS, Changes(102 + number, (change,)))
+        return state
+
+    def send(self, state: DaemonState, number: int) -> ServerAttempt:
+        """Send a prompt with the shared beginning; return what goes to an engine."""
+        request = CallerRequest(
+            request_id=f"r{number}",
+            target=PathTarget("/m/x"),
+            prompt_tokens=PROMPT_TOKENS,
+            parts=(
+                PromptPart("shared", SHARED_TOKENS),
+                PromptPart(f"own{number}", OWN_TOKENS),
+            ),
+        )
+        event = RequestArrived(at=2.0, request=request, draws=(0.0, 0.0))
+        effects = reduce(state, event)
+        return next(e for e in effects if isinstance(e, PrefillPrompt | RelayRequest))
+
+    def test_beginning_is_fetched_from_the_engine_that_reads_it(self) -> None:
+        """A second engine is told the address of the first one."""
+        state = self.build()
+        first = self.send(state, 1)
+        others = [self.send(state, number) for number in range(2, 4)]
+        moved = next(sent for sent in others if sent.server != first.server)
+        self.assertEqual(first.fetch_address, "")
+        self.assertEqual(moved.fetch_address, first.address)
+
+    def test_uses_are_counted(self) -> None:
+        """Each request counts as a use of its beginning."""
+        state = self.build()
+        for number in range(3):
+            self.send(state, number)
+        self.assertEqual(
+            [uses.count for uses in state.prefix_caches.shared_uses.values()], [3.0]
+        )
+
+
 Planner = Callable[[Sequence[EngineView], PlanQuery], Plan | None]
 ENGINES = 6
 CAPACITY_TOKENS = 120_000
--- a/packages/geraniumhall-core/tests/test_uneven_engines.py
+++ b/packages/geraniumhall-core/tests/test_uneven_engines.py
@@ -294,19 +294,22 @@
 class DecodeEngineTest(unittest.TestCase):
     """The engine that decodes is chosen by its pace and failures too."""
 
-    def choose(self, pace: StreamPace, **speed: float) -> str:
+    def choose(self, pace: StreamPace, queued: int = 0, **speed: float) -> str:
         """Return the choice between an idle engine of this speed and a busy one."""
         engines = [
             EngineView(
                 name=name,
                 role=ServerRole.DECODE,
                 is_local=True,
-                queued_prefill_tokens=0,
+                queued_prefill_tokens=tokens,
                 requests=requests,
                 slots=64,
                 speed=EngineSpeed(**factors),
             )
-            for name, requests, factors in (("idle", 0, speed), ("busy", 30, {}))
+            for name, requests, tokens, factors in (
+                ("idle", 0, queued, speed),
+                ("busy", 30, 0, {}),
+            )
         ]
         chosen = choose_decode_engine(engines, True, 100, 0.0, pace)
         assert chosen is not None
@@ -318,6 +321,14 @@
         self.assertEqual(self.choose(pace, decode=0.9), "idle")
         self.assertEqual(self.choose(pace, decode=0.2), "busy")
 
+    def test_engine_that_prefills_is_avoided(self) -> None:
+        """What is read between the tokens makes the pauses longer."""
+        pace = StreamPace(
+            event_seconds=0.05, gap_objective=0.2, mixed_prefill_rate=30_000.0
+        )
+        self.assertEqual(self.choose(pace, queued=1_000), "idle")
+        self.assertEqual(self.choose(pace, queued=6_000), "busy")
+
     def test_failing_engine_is_avoided(self) -> None:
         """An engine that fails a tenth of its requests is left alone."""
         self.assertEqual(self.choose(StreamPace(), failing=0.1), "busy")
