Count how prompts are placed

Cause: operators could see the weighing of one request in its log line, but not how often a beginning is kept, fetched or read again although another engine holds it.

Change: counters prompts.placed, prompts.kept, prompts.fetched and prompts.copied. Checked: core, golden.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -367,7 +367,7 @@
     record.tried_servers.add(placement.server)
     load = state.get_load(placement.server)
     load.start_work(placement.prefill_tokens, record.request.memory_tokens)
-    record_prompt_use(state, record, placement.server, now)
+    record_prompt_use(state, record, placement, now)
     state.reporting.is_dirty = True
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -184,15 +184,29 @@
 
 
 def record_prompt_use(
-    state: DaemonState, record: RequestRecord, server: str, now: float
+    state: DaemonState, record: RequestRecord, placement: Placement, now: float
 ) -> None:
     """Record that an engine gets a request's prompt, to be reported to other hosts."""
     if record.request.parts:
-        use = PromptUse(server, _list_part_uses(record.request))
+        _count_placement(state, placement)
+        use = PromptUse(placement.server, _list_part_uses(record.request))
         if add_prompt_use(state, use, now) and state.policy.peer_address:
             state.prefix_caches.unreported.append(use)
 
 
+def _count_placement(state: DaemonState, placement: Placement) -> None:
+    """Count a prompt that an engine is to prefill, by what is kept of it."""
+    if not placement.expected_seconds:
+        return
+    state.counters["prompts.placed"] += 1
+    if placement.fetches_from:
+        state.counters["prompts.fetched"] += 1
+    elif placement.copy_seconds:
+        state.counters["prompts.copied"] += 1
+    elif placement.kept_tokens:
+        state.counters["prompts.kept"] += 1
+
+
 def add_prompt_use(state: DaemonState, use: PromptUse, now: float = 0.0) -> bool:
     """Add a use to the inferred caches; return False for a server without one."""
     server = state.catalogue.servers.get(use.server)
--- a/packages/geraniumhall-core/tests/test_kept_prompts.py
+++ b/packages/geraniumhall-core/tests/test_kept_prompts.py
@@ -268,6 +268,7 @@
         moved = next(sent for sent in others if sent.server != first.server)
         self.assertEqual(first.fetch_address, "")
         self.assertEqual(moved.fetch_address, first.address)
+        self.assertEqual(state.counters["prompts.fetched"], 1)
 
     def test_uses_are_counted(self) -> None:
         """Each request counts as a use of its beginning."""
