--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/summaries.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/summaries.py
@@ -62,7 +62,7 @@
     """Store a part of the summary of all hosts, or of another failure domain."""
     collecting = state.collecting
     for use in message.uses:
-        add_prompt_use(state, use)
+        add_prompt_use(state, use, event.at)
     add_summed_speeds(state, message.speeds, event.at)
     if not message.failure_domain:
         if not _outranks_known(state, message.host, event.at):
--- a/packages/geraniumhall-core/tests/test_kept_prompts.py
+++ b/packages/geraniumhall-core/tests/test_kept_prompts.py
@@ -36,6 +36,7 @@
 from geraniumhall_core.prefixes import EngineCache, PartUse, PrefixCaches, PromptUse
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.requests import CallerRequest, PathTarget, PromptPart
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.speeds import EngineSpeed
 from geraniumhall_core.state import DaemonState
 
@@ -228,8 +229,8 @@
             version=1, entries={"m": entry}, services={"llm": Service(engine=profile)}
         )
         key = ObjectKey("configuration", "main")
-        change = VersionedRecord(key, 101, configuration)
-        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, (change,)))
+        change = VersionedRecord(key, Revision(number=101), configuration)
+        apply_feed_answer(state, Feed.CONFIGURATION, Changes(change.version, (change,)))
         roles = {"p1": ServerRole.PREFILL, "p2": ServerRole.PREFILL}
         for number, (name, role) in enumerate(
             [*roles.items(), ("d", ServerRole.DECODE)]
@@ -241,8 +242,8 @@
                 role=role,
             )
             key = ObjectKey("registered_server", name)
-            change = VersionedRecord(key, 102 + number, server)
-            apply_feed_answer(state, Feed.SERVERS, Changes(102 + number, (change,)))
+            change = VersionedRecord(key, Revision(number=102 + number), server)
+            apply_feed_answer(state, Feed.SERVERS, Changes(change.version, (change,)))
         return state
 
     def send(self, state: DaemonState, number: int) -> ServerAttempt:
