--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -49,6 +49,7 @@
     can_retry_error,
     may_retry,
 )
+from geraniumhall_core.handlers.speeds import observe_attempt, observe_first_event
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import (
     DEADLINE_EXCEEDED,
@@ -79,6 +80,7 @@
         record.response_started = True
         record.began_at = event.at
         _finish_prefill(state, record)
+        observe_first_event(state, record, event.at)
         count_request(state, record, event.wall_time)
         yield log_progress("answer_started", record, event.at)
         yield from report_load(state, event.at)
@@ -94,6 +96,7 @@
             yield from _release_server_memory(state, event.kv_cache, event.at)
         return
     _release_server(state, record, event.at, event.outcome)
+    observe_attempt(state, record, event)
     if event.outcome is AttemptOutcome.COMPLETED:
         record.kv_cache = event.kv_cache
         yield log_progress("prompt_read", record, event.at)
@@ -117,6 +120,7 @@
     record.verdict = record.verdict.join(event.verdict)
     record.runs += event.verdict is not Verdict.NOT_RUN
     _release_server(state, record, event.at, event.outcome)
+    observe_attempt(state, record, event)
     if event.outcome is AttemptOutcome.BROKEN:
         yield from examine_break(state, record, event.at)
     if event.outcome is AttemptOutcome.COMPLETED:
@@ -272,6 +276,7 @@
             max_connections=state.compute_connection_share(placement.server),
             workspace=record.workspace,
             priority=record.priority,
+            fetch_address=_find_address(state, placement.fetches_from),
         )
     else:
         yield _send_request(state, record, placement, now)
@@ -315,11 +320,18 @@
         max_connections=state.compute_connection_share(placement.server),
         workspace=record.workspace,
         priority=record.priority,
+        fetch_address=_find_address(state, placement.fetches_from),
         kv_cache=record.kv_cache,
         hides_errors=can_retry_error(state, record, now),
     )
 
 
+def _find_address(state: DaemonState, server: str) -> str:
+    """Return a server's address, empty for none."""
+    record = state.catalogue.servers.get(server)
+    return record.address if record else ""
+
+
 def _wait_or_refuse(
     state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
@@ -349,10 +361,13 @@
     record.attempts += 1
     record.server = placement.server
     record.prefill_tokens = placement.prefill_tokens
+    record.pending_prefill = placement.pending_prefill
+    record.prefill_percent = 0
+    record.attempted_at = now
     record.tried_servers.add(placement.server)
     load = state.get_load(placement.server)
     load.start_work(placement.prefill_tokens, record.request.memory_tokens)
-    record_prompt_use(state, record, placement.server)
+    record_prompt_use(state, record, placement, now)
     state.reporting.is_dirty = True
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -16,6 +16,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import attrs
 from xxhash import xxh64_intdigest
@@ -35,6 +36,12 @@
 USABLE_MEMORY_FRACTION = 0.85  # the rest is for work that is not reported yet
 # Each running request adds this fraction to the cost of prefill on its engine.
 PREFILL_INTERFERENCE_FACTOR = 0.05
+# What a caller waits longer if the engine fails the request, or slows its stream to
+# pauses over the objective, which makes the answer late.
+FAILED_ATTEMPT_SECONDS = 1.0
+LATE_STREAM_SECONDS = 1.0
+# Estimates err by some tenths of an objective, so that the rest is kept free.
+SAFE_OBJECTIVE_FRACTION = 0.6
 # Prefill of a token behind this many others costs twice that of the first token.
 ATTENTION_DOUBLING_TOKENS = 74_000
 
@@ -47,8 +54,9 @@
     `requests` are in progress. `is_local` is true if the engine is in the host's
     failure domain. `cached_tokens` of the prompt are assumed in its prefix cache.
     The requests in progress take `memory_tokens` of its `memory_capacity`, also in
-    tokens; with a capacity of zero its memory never counts as full. `speed` is
-    relative to the usual speed of its service.
+    tokens; with a capacity of zero its memory never counts as full. `kept_tokens` are
+    expected in its cache if parts that may have yielded to others count less. `speed`
+    is relative to the usual speed of its service.
     """
 
     name: str
@@ -60,9 +68,42 @@
     cached_tokens: int = 0
     memory_tokens: float = 0
     memory_capacity: int = 0
+    kept_tokens: float = 0.0
     speed: EngineSpeed = USUAL_SPEED
 
 
+@attrs.frozen(kw_only=True)
+class StreamPace:
+    """The usual pause between two events of a stream, and the longest one allowed.
+
+    Both are in seconds; zero means that the usual pause is not known, and None that
+    there is no objective. What an engine prefills between the tokens of its streams, at
+    `mixed_prefill_rate` tokens a second, makes the pauses longer.
+    """
+
+    event_seconds: float = 0.0
+    gap_objective: float | None = None
+    mixed_prefill_rate: float = float("inf")
+
+    def estimate_lateness(self, engine: EngineView, more_tokens: float = 0.0) -> float:
+        """Return how likely streams of an engine pause for too long.
+
+        It prefills `more_tokens` besides those that are queued there. Pauses are
+        expected with an error of some tenths, so that the likelihood rises from zero
+        at `SAFE_OBJECTIVE_FRACTION` of the objective to one at the objective.
+        """
+        if self.gap_objective is None or not self.event_seconds:
+            return 0.0
+        rate = self.mixed_prefill_rate * engine.speed.prefill
+        pause = self.event_seconds / engine.speed.decode
+        pause += (engine.queued_prefill_tokens + more_tokens) / rate
+        safe = self.gap_objective * SAFE_OBJECTIVE_FRACTION
+        return min(1.0, max(0.0, (pause - safe) / (self.gap_objective - safe)))
+
+
+USUAL_PACE = StreamPace()
+
+
 @attrs.frozen(kw_only=True)
 class PlanQuery:
     """The inputs of a plan.
@@ -72,7 +113,10 @@
     may share; `shared_prefix_hash` is a hash of the last of these parts.
     `prefill_rate` is that of a prefill engine and `kv_transfer_rate` that of a
     transfer between engines, both in tokens a second. `draw`, uniform in [0, 1),
-    decides between engines that are expected to answer equally early.
+    decides between engines that are expected to answer equally early. `pace` is that of
+    the stream on an engine of usual speed. The last shared part is used
+    `shared_use_rate` times a second over all hosts. The first event is wanted within
+    `objective` seconds, None without an objective.
     """
 
     prompt_tokens: int
@@ -81,7 +125,10 @@
     prefill_rate: float
     kv_transfer_rate: float
     memory_tokens: int = 0
+    pace: StreamPace = USUAL_PACE
     draw: float = 0.0
+    shared_use_rate: float = 0.0
+    objective: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -90,15 +137,24 @@
 
     With `is_prefill_only` it runs prefill and another engine decodes; otherwise it
     does both. `prefill_tokens` is the expected prefill work there, and
-    `expected_seconds` the expected time to the first event.
+    `expected_seconds` the expected time to the first event. `pending_prefill` is the
+    prefill work with all that is queued before it, as tokens of an engine of usual
+    speed that only runs prefill. With `fetches_from` the engine first fetches what that
+    one keeps of the prompt. `kept_tokens` of the prompt are expected to be held or
+    fetched, and `copy_seconds` is the price of another copy of the shared parts.
     """
 
     server: str
     prefill_tokens: int
+    pending_prefill: float = 0.0
+    fetches_from: str = ""
+    kept_tokens: float = 0.0
+    copy_seconds: float = 0.0
     expected_seconds: float = 0.0
     is_prefill_only: bool = False
 
 
+Chosen = TypeVar("Chosen")
 PlanningPolicy = Callable[[Sequence[EngineView], PlanQuery], Plan | None]
 PLANNING_POLICIES: Registry[str, PlanningPolicy] = Registry("planning policy")
 
@@ -146,11 +202,13 @@
     is_prefill_local: bool,
     memory_tokens: int,
     draw: float = 0.0,
+    pace: StreamPace = USUAL_PACE,
 ) -> EngineView | None:
     """Return the engine that decodes from a transferred KV cache, or None.
 
     The request takes `memory_tokens` of the engine's memory. `draw`, uniform in
-    [0, 1), decides between engines that are equally good.
+    [0, 1), decides between engines that are equally good. `pace` is that of the stream
+    on an engine of usual speed.
     """
     decode_engines = [
         engine for engine in engines if engine.role is not ServerRole.PREFILL
@@ -162,9 +220,10 @@
         network_delay = (
             0.0 if engine.is_local == is_prefill_local else CROSS_DOMAIN_LATENCY_SECONDS
         )
-        return _estimate_running_delay(engine, memory_tokens) + network_delay
+        running_delay = estimate_running_delay(engine, memory_tokens)
+        return running_delay + estimate_stream_delay(engine, pace) + network_delay
 
-    return _choose_earliest(decode_engines, estimate, draw)
+    return choose_earliest(decode_engines, estimate, draw)
 
 
 def _plan_disaggregated(
@@ -183,21 +242,26 @@
         KV_TRANSFER_OVERHEAD_SECONDS + query.prompt_tokens / query.kv_transfer_rate
     )
     running_delay = min(
-        _estimate_running_delay(engine, query.memory_tokens)
+        estimate_running_delay(engine, query.memory_tokens)
+        + estimate_stream_delay(engine, query.pace)
         for engine in decode_engines
     )
 
-    def estimate(engine: EngineView) -> float:
+    def estimate_pending(engine: EngineView) -> float:
         prefill_tokens = _estimate_prefill_tokens(engine, prefix_owner, query)
-        prefill = (engine.queued_prefill_tokens + prefill_tokens) / query.prefill_rate
+        return engine.queued_prefill_tokens + prefill_tokens
+
+    def estimate(engine: EngineView) -> float:
+        rate = query.prefill_rate * engine.speed.prefill
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
-        return prefill + network_delay
+        return estimate_pending(engine) / rate + estimate_loss(engine) + network_delay
 
-    best = _choose_earliest(prefill_engines, estimate, query.draw)
+    best = choose_earliest(prefill_engines, estimate, query.draw)
     expected_seconds = estimate(best) + transfer + running_delay
     return expected_seconds, Plan(
         server=best.name,
         prefill_tokens=_estimate_prefill_tokens(best, prefix_owner, query),
+        pending_prefill=estimate_pending(best),
         expected_seconds=expected_seconds,
         is_prefill_only=True,
     )
@@ -212,42 +276,48 @@
     if not decode_engines:
         return float("inf"), None
     prefix_owner = _find_prefix_owner(decode_engines, query)
-    rate = query.prefill_rate * MIXED_PREFILL_RATE_FACTOR
 
-    def estimate(engine: EngineView) -> float:
+    def estimate_pending(engine: EngineView) -> float:
         prefill_tokens = _estimate_prefill_tokens(engine, prefix_owner, query)
-        prefill = (engine.queued_prefill_tokens + prefill_tokens) / rate
-        prefill += prefill_tokens / rate * engine.requests * PREFILL_INTERFERENCE_FACTOR
+        interference = engine.requests * PREFILL_INTERFERENCE_FACTOR
+        pending = engine.queued_prefill_tokens + prefill_tokens * (1 + interference)
+        return pending / MIXED_PREFILL_RATE_FACTOR
+
+    def estimate(engine: EngineView) -> float:
+        rate = query.prefill_rate * engine.speed.prefill
         network_delay = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
-        running_delay = _estimate_running_delay(engine, query.memory_tokens)
-        return prefill + running_delay + network_delay
+        running_delay = estimate_running_delay(engine, query.memory_tokens)
+        stream_delay = estimate_stream_delay(engine, query.pace)
+        delay = running_delay + stream_delay + network_delay
+        return estimate_pending(engine) / rate + delay
 
-    best = _choose_earliest(decode_engines, estimate, query.draw)
+    best = choose_earliest(decode_engines, estimate, query.draw)
     expected_seconds = estimate(best)
     return expected_seconds, Plan(
         server=best.name,
         prefill_tokens=_estimate_prefill_tokens(best, prefix_owner, query),
+        pending_prefill=estimate_pending(best),
         expected_seconds=expected_seconds,
     )
 
 
-def _choose_earliest(
-    engines: Sequence[EngineView], estimate: Callable[[EngineView], float], draw: float
-) -> EngineView:
-    """Return one of the engines with the least estimate, by `draw`.
+def choose_earliest(
+    options: Sequence[Chosen], estimate: Callable[[Chosen], float], draw: float
+) -> Chosen:
+    """Return one of the options with the least estimate, by `draw`.
 
     Hosts that know little of each other's work see many engines as equally idle. A
     fixed order among these would make all hosts choose the same one.
     """
-    estimates = [estimate(engine) for engine in engines]
+    estimates = [estimate(option) for option in options]
     least = min(estimates)
-    tied = [e for e, value in zip(engines, estimates, strict=True) if value == least]
+    tied = [o for o, value in zip(options, estimates, strict=True) if value == least]
     return tied[int(draw * len(tied))]
 
 
-def _estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
+def estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
     """Return the delay of a new request by running ones, in seconds."""
-    delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS
+    delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS / engine.speed.decode
     if engine.requests >= engine.slots > 0:
         delay += FULL_SLOTS_DELAY_SECONDS
     usable = engine.memory_capacity * USABLE_MEMORY_FRACTION
@@ -257,6 +327,18 @@
     return delay
 
 
+def estimate_stream_delay(engine: EngineView, pace: StreamPace) -> float:
+    """Return what a stream loses by the engine's pace and failures, in seconds."""
+    delay = pace.event_seconds / engine.speed.decode - pace.event_seconds
+    delay += pace.estimate_lateness(engine) * LATE_STREAM_SECONDS
+    return delay + estimate_loss(engine)
+
+
+def estimate_loss(engine: EngineView) -> float:
+    """Return the expected delay of a request by failures of the engine, in seconds."""
+    return engine.speed.failing * FAILED_ATTEMPT_SECONDS
+
+
 def _find_prefix_owner(
     engines: Sequence[EngineView], query: PlanQuery
 ) -> EngineView | None:
@@ -273,13 +355,18 @@
 def _estimate_prefill_tokens(
     engine: EngineView, prefix_owner: EngineView | None, query: PlanQuery
 ) -> int:
-    """Return the prefill cost on an engine, in units of a prompt's first token.
+    """Return the prefill cost on an engine, in units of a prompt's first token."""
+    cached = engine.cached_tokens
+    if engine is prefix_owner:
+        cached = max(cached, query.shared_prefix_tokens)
+    return estimate_read_cost(query.prompt_tokens, cached)
+
+
+def estimate_read_cost(prompt_tokens: int, cached_tokens: int) -> int:
+    """Return the cost of reading what is not cached, in units of a first token.
 
     Attention makes a token cost more with the number of tokens before it.
     """
-    cached = min(engine.cached_tokens, query.prompt_tokens)
-    if engine is prefix_owner:
-        cached = max(cached, query.shared_prefix_tokens)
-    uncached = query.prompt_tokens - cached
-    preceding = query.prompt_tokens - uncached / 2
+    uncached = prompt_tokens - min(cached_tokens, prompt_tokens)
+    preceding = prompt_tokens - uncached / 2
     return int(uncached * (1 + preceding / ATTENTION_DOUBLING_TOKENS))
