Decide on admission by the time that an answer would take

Cause: a host refused only what found its queue full, told everybody to come back after 0.5 s, and sent again to a server that had just said that it is full; priorities ordered nothing among what waits, and all hosts chose the same free server.

Change: four registered policies, off by default. in_time refuses what would end after its deadline at a busy server and lets a request wait for room for an eighth of its objective; drawn_share gives each host a drawn share of a server's last free slots; time_and_size ranks requests by priority, objective, size and repeats, on the host and in the engines' queues; as_room_frees spreads those who come back. What an answer takes is learned from the host's own answers. WatchHold and HoldEnded end a wait on time. A server that says that it is full counts as full until its work may have drained. request_placed has the rank, so the golden session was written anew.

Ruled out: a queue that hosts share, refusing by the objective, and clearing a refusal by any later answer; docs/design/admission.md says why.

geraniumhall-core, run once as a whole, had one error that five later runs of the same tests didn't show; its output wasn't kept.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -35,7 +35,12 @@
 from geraniumhall_core.handlers.scaling import reconcile_scale
 from geraniumhall_core.handlers.unusable_objects import count_unusable
 from geraniumhall_core.handlers.usage import advance_usage_sealing
-from geraniumhall_core.handlers.waiting import end_requests, expire_waiting, refuse_held
+from geraniumhall_core.handlers.waiting import (
+    advance_waiting,
+    end_requests,
+    expire_waiting,
+    refuse_held,
+)
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
@@ -47,6 +52,7 @@
     yield from prove_running(state, event.at)
     yield from decide_crashes(state, event.at)
     yield from refuse_held(state, event.at)
+    yield from advance_waiting(state, event.at, event.draws)
     yield from save_parts(state, event.at)
     yield from expire_rounds(state, event.at, event.draws)
     yield from expire_grant_rounds(state, event.at, event.draws)
@@ -140,6 +146,7 @@
     increases = state.counters - metrics.reported
     metrics.reported = state.counters.copy()
     waiting = sum(queue.waiting_count for queue in state.queues.values())
+    waiting += state.overload.count_waiting()
     configuration = state.catalogue.configuration
     yield EmitMetrics(
         counters=tuple(Metric(k, v) for k, v in sorted(increases.items())),
