Repeat what reached no server without spending the retry budget

The budget bounds arrivals, and these had none.

Ruled out: a larger budget, which real arrivals would use.

--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -111,16 +111,16 @@
     """The state of one accepted request until it ends.
 
     `deadline` is the latest time for the complete response, in seconds on the host's
-    clock. `cost` is what the request takes from the workspace's rate. `runs` counts
-    the attempts that may have run. `prefill_tokens` are prompt tokens whose prefill
-    is pending on the current server, as far as this host knows. `kv_cache` refers
-    to the prompt's KV cache between prefill and decode. `sent_at` is when the current
-    attempt was sent and `began_at` when its answer began, in seconds on the host's
-    clock. A request that tries a held part has its name as `trial_part`. One that
-    `has_asked` other hosts for a token does not ask again. It was placed at
-    `placed_at`, and its first event planned `planned` seconds later, before the
-    service's pace is applied. `rank` is its urgency among the requests of its
-    service, and `is_repeat` tells that its caller has tried before.
+    clock. `cost` is what the request takes from the workspace's rate. `runs` counts the
+    attempts that may have run and `unsent` those that reached no server.
+    `prefill_tokens` are prompt tokens whose prefill is pending on the current server,
+    as far as this host knows. `kv_cache` refers to the prompt's KV cache between
+    prefill and decode. `sent_at` is when the current attempt was sent and `began_at`
+    when its answer began, in seconds on the host's clock. A request that tries a held
+    part has its name as `trial_part`. One that `has_asked` other hosts for a token does
+    not ask again. It was placed at `placed_at`, and its first event planned `planned`
+    seconds later, before the service's pace is applied. `rank` is its urgency among the
+    requests of its service, and `is_repeat` tells that its caller has tried before.
     """
 
     request: CallerRequest
@@ -135,6 +135,7 @@
     phase: Phase = Phase.QUEUED
     attempts: int = 0
     runs: int = 0
+    unsent: int = 0
     server: str = ""
     prefill_tokens: int = 0
     tried_servers: set[str] = attrs.field(factory=set)
