Order servers by the load of their service

Change: the scaling policy by_load. The lease's holder follows how many servers are busy, from the work of all hosts, keeps the peak of late with a half-life of five start-up times, and orders reclaimable servers for it; what is there counts as needed until load is known. Log field `needed` and metric servers.needed. Off by default.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -34,7 +34,7 @@
     exchange_restrictions,
     report_restrictions,
 )
-from geraniumhall_core.handlers.scaling import reconcile_scale
+from geraniumhall_core.handlers.scaling import count_needed_servers, reconcile_scale
 from geraniumhall_core.handlers.speeds import count_slow_engines
 from geraniumhall_core.handlers.summaries import expire_summaries, send_summaries
 from geraniumhall_core.handlers.unusable_objects import count_unusable
@@ -173,6 +173,7 @@
             Metric("parts.suspected", len(state.quarantine.parts)),
             Metric("engines.slow", count_slow_engines(state)),
             Metric("servers.known", len(state.catalogue.servers)),
+            Metric("servers.needed", count_needed_servers(state)),
             Metric("servers.limited", state.restrictions.count_limited()),
             Metric("servers.leaving", state.restrictions.count_leaving()),
             Metric("configuration", configuration.version if configuration else 0),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from math import ceil
 
 import attrs
 
@@ -16,10 +17,18 @@
     step_down,
 )
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
+from geraniumhall_core.handlers.speeds import find_speed
 from geraniumhall_core.platform import DutyAccepted, DutyFenced, ScaleService
 from geraniumhall_core.purposes import ScaleDomain
 from geraniumhall_core.reducer import Effect
-from geraniumhall_core.scaling import SCALING_POLICIES, DomainView, ScaleRequest
+from geraniumhall_core.scaling import (
+    PEAK_HALF_LIFE_BOOTS,
+    SCALING_POLICIES,
+    DomainView,
+    ScaleRequest,
+    ServiceDemand,
+    measure_busy,
+)
 from geraniumhall_core.state import DaemonState
 
 
@@ -27,6 +36,7 @@
     """Request the server counts that the policy wants, if the lease is held."""
     if find_held_term(state, now) is None:
         state.scale_requests.clear()
+        state.service_demands.clear()
         return
     term = find_duty_term(state, now)
     if term is None or not state.policy.has_duties:
@@ -34,6 +44,7 @@
     for name, service in state.catalogue.services.items():
         if service.scale is None:
             continue
+        _observe_demand(state, name, service.scale, now)
         for domain in service.scale.prices:
             yield from _reconcile_domain(state, name, service.scale, domain, term, now)
 
@@ -59,6 +70,7 @@
             LogField("failure_domain", purpose.failure_domain),
             LogField("reclaimable", purpose.reclaimable),
             LogField("count", purpose.count),
+            LogField("needed", _share_need(state, purpose.service) or 0),
             LogField("answer", str(attrs.asdict(event.answer))),
             LogField("taken", is_accepted),
         ),
@@ -67,6 +79,35 @@
         yield from step_down(state, event.at)
 
 
+def count_needed_servers(state: DaemonState) -> int:
+    """Return the servers that all services need, zero unless this host decides it."""
+    return sum(demand.needed for demand in state.service_demands.values())
+
+
+def _observe_demand(
+    state: DaemonState, service: str, bounds: ScaleBounds, now: float
+) -> None:
+    """Follow how many servers of a service are busy, by the work of all hosts."""
+    names = state.catalogue.servers_by_service.get(service, ())
+    serving = [name for name in names if not is_leaving(state, name)]
+    demand = state.service_demands.get(service)
+    if demand is None:
+        demand = ServiceDemand.from_servers(len(serving), now)
+        state.service_demands[service] = demand
+    busy = sum(_measure_server(state, name, now) for name in serving)
+    demand.observe(busy, bounds.boot_seconds * PEAK_HALF_LIFE_BOOTS, now)
+    demand.decide()
+
+
+def _measure_server(state: DaemonState, name: str, now: float) -> float:
+    server = state.catalogue.servers[name]
+    load = state.get_load(name)
+    foreign = state.estimate_foreign_work(name)
+    rate = state.policy.engine_read_rate * find_speed(state, name, now).prefill
+    prefill = (load.prefill_tokens + foreign.prompt_tokens) / rate
+    return measure_busy(load.outstanding + foreign.requests, server.slots, prefill)
+
+
 def _view_domain(state: DaemonState, service: str, domain: str) -> DomainView:
     names = state.catalogue.servers_by_service.get(service, ())
     servers = [
@@ -78,9 +119,22 @@
         regular=kinds[False],
         reclaimable=kinds[True],
         lacks_reclaimable=latest is not None and latest.was_rejected,
+        needed=_share_need(state, service),
     )
 
 
+def _share_need(state: DaemonState, service: str) -> int | None:
+    """Return the servers that a service needs in each failure domain.
+
+    The need is spread evenly, so that a domain that is lost takes its share only.
+    """
+    scale = state.catalogue.services[service].scale
+    demand = state.service_demands.get(service)
+    if scale is None or demand is None:
+        return None
+    return ceil(demand.needed / len(scale.prices))
+
+
 def _reconcile_domain(
     state: DaemonState,
     service: str,
--- a/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/scaling.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable
+from math import ceil, exp
 
 import attrs
 
@@ -18,6 +19,14 @@
 
 RETRY_SECONDS = 2.0
 REPEAT_SECONDS = 15.0  # between equal requests while no server is missing
+# A prompt that arrives at random finds a free engine in most cases at this load.
+BUSY_TARGET = 0.3
+RELEASE_FRACTION = (
+    0.8  # of the need; smaller changes are no reason to give servers back
+)
+SMOOTHING_SECONDS = 1.0
+FULL_PREFILL_SECONDS = 0.1
+PEAK_HALF_LIFE_BOOTS = 5.0  # in start-up times of a server
 
 
 @attrs.frozen(kw_only=True)
@@ -25,12 +34,14 @@
     """The number of servers that a service has in one failure domain.
 
     `lacks_reclaimable` is true if the latest answered request for reclaimable
-    servers there was not accepted.
+    servers there was not accepted. `needed` servers there would carry the service's
+    load, None if that is not known.
     """
 
     regular: int
     reclaimable: int
     lacks_reclaimable: bool = False
+    needed: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +52,57 @@
     reclaimable: int
 
 
+@attrs.define
+class ServiceDemand:
+    """How many servers a service needs, from the work at those that it has.
+
+    `busy` is the recent number of busy servers, smoothed, and `peak` the highest of
+    late, which decays so that a wave of load finds the servers of the one before it.
+    `needed` is what was last decided on, for all failure domains together.
+    """
+
+    busy: float = 0.0
+    peak: float = 0.0
+    needed: int = 0
+    observed_at: float = float("-inf")
+
+    @classmethod
+    def from_servers(cls, servers: int, now: float) -> "ServiceDemand":
+        """Begin with the servers that are there as the need, until load is known."""
+        return cls(0.0, servers * BUSY_TARGET, servers, now)
+
+    def observe(self, busy: float, half_life: float, now: float) -> None:
+        """Record the number of busy servers now; the peak halves in `half_life`.
+
+        A service without work yet keeps what it has, since its load is not known.
+        """
+        elapsed = now - self.observed_at
+        self.observed_at = now
+        if not busy and not self.busy:
+            return
+        self.busy += (busy - self.busy) * (1 - exp(-elapsed / SMOOTHING_SECONDS))
+        self.peak = max(self.busy, self.peak * 0.5 ** (elapsed / half_life))
+
+    def decide(self) -> int:
+        """Return the number of servers needed, with less need only once it is clear."""
+        wanted = ceil(self.peak / BUSY_TARGET)
+        if wanted > self.needed or wanted < self.needed * RELEASE_FRACTION:
+            self.needed = wanted
+        return self.needed
+
+
+def measure_busy(requests: float, slots: int, prefill_seconds: float) -> float:
+    """Return how busy a server is, from 0 to 1.
+
+    A server is busy as far as its slots are taken, or fully while a prompt waits whose
+    prefill takes `FULL_PREFILL_SECONDS`::
+
+        measure_busy(requests=16, slots=64, prefill_seconds=0.0) == 0.25
+    """
+    taken = requests / slots if slots else float(requests > 0)
+    return min(1.0, taken + prefill_seconds / FULL_PREFILL_SECONDS)
+
+
 @attrs.define
 class ScaleRequest:
     """Scale requests for a service's regular or reclaimable servers in one domain.
@@ -123,3 +185,26 @@
         regular = max(regular, substitutes)
     reclaimable = min(headroom, bounds.maximum - regular)
     return DomainTarget(regular=regular, reclaimable=reclaimable)
+
+
+@SCALING_POLICIES.register("by_load")
+def follow_load(bounds: ScaleBounds, domain: DomainView) -> DomainTarget | None:
+    """Prefer reclaimable servers, as many as the load of the service needs.
+
+    It answers demand that comes in waves and falls to a fraction of what the maximum
+    would carry. Regular servers beyond the need are given up at once, the others only
+    as reclaimable ones serve in their place. While no reclaimable ones are to be had,
+    regular ones take the place of those that are missing, up to half of the maximum.
+    """
+    if domain.needed is None:
+        return prefer_reclaimable(bounds, domain)
+    if bounds.reclaimable_price is None:
+        return None
+    needed = min(max(domain.needed, bounds.minimum), bounds.maximum)
+    regular = max(bounds.minimum, min(domain.regular, needed) - domain.reclaimable)
+    if domain.lacks_reclaimable:
+        substitutes = min(needed, bounds.maximum // 2) - domain.reclaimable
+        regular = max(regular, substitutes)
+    wanted = needed - bounds.minimum
+    reclaimable = min(wanted, bounds.maximum - max(regular, domain.regular))
+    return DomainTarget(regular=regular, reclaimable=max(0, reclaimable))
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -30,7 +30,7 @@
 from geraniumhall_core.restrictions import RestrictionsView
 from geraniumhall_core.retries import RetryBudget
 from geraniumhall_core.revisions import NO_REVISION, Revision
-from geraniumhall_core.scaling import ScaleRequest
+from geraniumhall_core.scaling import ScaleRequest, ServiceDemand
 from geraniumhall_core.server_load import NO_FOREIGN_WORK, ForeignWork, ServerLoad
 from geraniumhall_core.speeds import SpeedBook
 from geraniumhall_core.summaries import CollectingState
@@ -259,6 +259,7 @@
     scale_requests: dict[tuple[str, str, bool], ScaleRequest] = attrs.field(
         factory=dict
     )
+    service_demands: dict[str, ServiceDemand] = attrs.field(factory=dict)
     sealing: SealingState = attrs.field(factory=SealingState)
     drain: DrainState = attrs.field(factory=DrainState)
     counters: Counter[str] = attrs.field(factory=Counter)
--- a/packages/geraniumhall-core/tests/test_scaling.py
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -33,7 +33,14 @@
 )
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.revisions import Revision
-from geraniumhall_core.scaling import DomainTarget, DomainView, prefer_reclaimable
+from geraniumhall_core.scaling import (
+    DomainTarget,
+    DomainView,
+    ServiceDemand,
+    follow_load,
+    measure_busy,
+    prefer_reclaimable,
+)
 from geraniumhall_core.state import DaemonState
 
 BOUNDS = ScaleBounds(
@@ -90,6 +97,90 @@
         self.assertIsNone(prefer_reclaimable(bounds, domain))
 
 
+class LoadPolicyTest(unittest.TestCase):
+    """Demand that comes in waves and needs a part of the maximum."""
+
+    def test_targets(self) -> None:
+        """Reclaimable servers come first, and regular ones go as these serve."""
+        cases = {
+            (3, 0, 3): DomainTarget(regular=3, reclaimable=2),
+            (3, 2, 3): DomainTarget(regular=1, reclaimable=2),
+            (3, 0, 1): DomainTarget(regular=1, reclaimable=0),
+            (1, 5, 3): DomainTarget(regular=1, reclaimable=2),
+            (1, 2, 9): DomainTarget(regular=1, reclaimable=5),
+            (6, 0, 6): DomainTarget(regular=6, reclaimable=0),
+        }
+        for (regular, reclaimable, needed), expected in cases.items():
+            domain = DomainView(regular=regular, reclaimable=reclaimable, needed=needed)
+            with self.subTest(domain=domain):
+                self.assertEqual(follow_load(BOUNDS, domain), expected)
+
+    def test_a_reclaimed_domain_gets_what_it_needs(self) -> None:
+        """Regular servers replace reclaimed ones, up to half of the maximum."""
+        cases = {2: 2, 3: 3, 6: 3}
+        for needed, expected in cases.items():
+            domain = DomainView(
+                regular=1, reclaimable=0, lacks_reclaimable=True, needed=needed
+            )
+            with self.subTest(needed=needed):
+                target = follow_load(BOUNDS, domain)
+                assert target is not None
+                self.assertEqual(target.regular, expected)
+
+    def test_without_known_load_the_maximum_is_kept_ready(self) -> None:
+        """The baseline decides until the load is known."""
+        domain = DomainView(regular=3, reclaimable=0)
+        self.assertEqual(
+            follow_load(BOUNDS, domain), prefer_reclaimable(BOUNDS, domain)
+        )
+
+
+class ServiceDemandTest(unittest.TestCase):
+    """The need follows the load up at once and down slowly."""
+
+    def run_load(self, demand: ServiceDemand, busy: float, seconds: float) -> int:
+        """Observe a steady load for some time, and return the need."""
+        for _ in range(int(seconds * 10)):
+            demand.observe(busy, 20.0, demand.observed_at + 0.1)
+        return demand.decide()
+
+    def test_servers_without_load_are_kept_until_it_is_known(self) -> None:
+        """Nothing is given back before the first request."""
+        demand = ServiceDemand.from_servers(30, 0.0)
+        self.assertEqual(self.run_load(demand, 0.0, 100.0), 30)
+
+    def test_need_rises_with_a_burst(self) -> None:
+        """A burst of some seconds is answered while it lasts."""
+        demand = ServiceDemand.from_servers(10, 0.0)
+        self.assertGreaterEqual(self.run_load(demand, 9.0, 4.0), 29)
+
+    def test_a_wave_keeps_its_servers(self) -> None:
+        """Load that falls for some seconds takes nothing away that comes back."""
+        demand = ServiceDemand.from_servers(30, 0.0)
+        needs = []
+        for _ in range(4):
+            needs.append(self.run_load(demand, 9.0, 6.0))
+            needs.append(self.run_load(demand, 4.0, 5.0))
+        self.assertGreaterEqual(min(needs), 24)
+
+    def test_lasting_low_load_gives_servers_back(self) -> None:
+        """After minutes of little load, only what it needs is kept."""
+        demand = ServiceDemand.from_servers(30, 0.0)
+        self.assertLessEqual(self.run_load(demand, 3.0, 120.0), 13)
+
+    def test_small_changes_order_nothing(self) -> None:
+        """Load that varies by a tenth leaves the need as it is."""
+        demand = ServiceDemand.from_servers(30, 0.0)
+        first = self.run_load(demand, 9.0, 10.0)
+        self.assertEqual(self.run_load(demand, 8.1, 10.0), first)
+
+    def test_busy_servers(self) -> None:
+        """A server is busy by its slots, or by a prompt that waits for prefill."""
+        self.assertEqual(measure_busy(16, 64, 0.0), 0.25)
+        self.assertEqual(measure_busy(0, 64, 3.0), 1.0)
+        self.assertEqual(measure_busy(1, 0, 0.0), 1.0)
+
+
 class ScaleRequestTest(unittest.TestCase):
     """Only the holder of the control lease sends scale requests."""
 
