Leave out the calls to the store that no promise needs

Neither platform has quotas or edited records, so nobody's access depends on the records.

Change: the policy `sparing` of `catalogue.confirmation`. While no limit and no edited record exists, records are read with `serializable`, 20 at a time on average, and do not count for the age of the catalogue; a host writes its record once after the end of each usage window (a failed write again after 2 s); candidates read the lease with `serializable`, since their write names the version. The first read and those of the lease's holder stay exact. Calls are counted by purpose (`platform.*`).

Ruled out: not reading the records at all, since hosts find each other there; one long read in each window, since 86 records of 1.4 KB would occupy a link of 5 Mbit/s for 0.2 s; dating old answers as confirmations.

--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -241,6 +241,8 @@
 
     `tables` holds the records by kind and name. `versions` holds the newest known
     version of each object, also of deleted ones. `paths` finds the names of entries.
+    `depends_on_records` is true if access or a limit of callers depends on records
+    that daemons write.
     """
 
     tables: dict[str, dict[str, Any]] = attrs.field(
@@ -254,6 +256,7 @@
     servers: dict[str, BackendServer] = attrs.field(factory=dict)
     servers_by_service: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     paths: PathIndex = PathIndex()
+    depends_on_records: bool = False
 
     @property
     def configuration(self) -> Configuration | None:
@@ -331,6 +334,14 @@
     catalogue.servers = {**tables["server"], **tables[REGISTERED_SERVER_KIND]}
     catalogue.servers_by_service = _group_servers(catalogue.servers)
     catalogue.paths = PathIndex.from_entries(catalogue.entries)
+    catalogue.depends_on_records = _depends_on_records(catalogue)
+
+
+def _depends_on_records(catalogue: Catalogue) -> bool:
+    """Return whether operators edit records, or a limit applies to all hosts."""
+    edited = any(catalogue.tables[kind] for kind in EDITABLE_KINDS if kind != PART_KIND)
+    workspaces = catalogue.workspaces.values()
+    return edited or any(workspace.rate is not None for workspace in workspaces)
 
 
 def _group_servers(servers: dict[str, BackendServer]) -> dict[str, tuple[str, ...]]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/confirmations.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/confirmations.py
@@ -1,34 +1,62 @@
-"""Confirmation policies: who confirms a host's copy of the store.
+"""Confirmation policies: what keeps a host's copy of the store current.
 
-Each policy is a function registered under the name used in settings. It gets the place
-of this host among the hosts of its failure domain and returns how this host confirms
-its copy::
+Every host has to know of withdrawn keys, routes and leaving servers within their
+bounds. Everything else in the store may be read later or be seconds old, if no
+limit depends on it. A policy is a function registered under the name used in
+settings; it returns the plan by which a host reads and writes the store::
 
-    @CONFIRMATION_POLICIES.register("first_reads")
-    def let_first_read(rank):
-        return ReaderRole.READER if rank == 0 else ReaderRole.FOLLOWER
+    @CONFIRMATION_POLICIES.register("rare")
+    def read_rarely():
+        return ConfirmationPlan(is_sparing=True)
 """
 
 from collections.abc import Callable
-from enum import Enum
+from math import ceil
+
+import attrs
 
 from geraniumhall_core.registry import Registry
 
+MAX_SPARING_INTERVAL_SECONDS = 6.0
+
+
+@attrs.frozen(kw_only=True)
+class ConfirmationPlan:
+    """How a host keeps its copy of the store current.
 
-class ReaderRole(Enum):
-    """How a host keeps its copy of the store current."""
+    With `is_sparing`, records of hosts are written once in a usage window and read
+    from whichever copy of the store is cheapest, while no limit and no access of
+    callers depends on records.
+    """
 
-    READER = "reader"
-    FOLLOWER = "follower"
+    is_sparing: bool = False
 
 
-ConfirmationPolicy = Callable[[int], ReaderRole]
+ConfirmationPolicy = Callable[[], ConfirmationPlan]
 CONFIRMATION_POLICIES: Registry[str, ConfirmationPolicy] = Registry(
     "confirmation policy"
 )
 
 
 @CONFIRMATION_POLICIES.register("store")
-def read_store(rank: int) -> ReaderRole:
-    """Let every host read the store itself: the baseline."""
-    return ReaderRole.READER
+def read_always() -> ConfirmationPlan:
+    """Let every host confirm every feed by the store itself: the baseline."""
+    return ConfirmationPlan()
+
+
+@CONFIRMATION_POLICIES.register("sparing")
+def read_sparingly() -> ConfirmationPlan:
+    """Make no call that no promise needs."""
+    return ConfirmationPlan(is_sparing=True)
+
+
+def compute_sparing_interval(window: float) -> float:
+    """Return the seconds between two writes of a host's record.
+
+    `window` is the length of a usage window in seconds. The interval divides it, so
+    that one of the writes follows the end of each window::
+
+        compute_sparing_interval(5.0) == 5.0
+        compute_sparing_interval(60.0) == 6.0
+    """
+    return window / ceil(window / MAX_SPARING_INTERVAL_SECONDS)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/access.py
@@ -7,6 +7,7 @@
 
 from geraniumhall_core.admin import LimitStatus
 from geraniumhall_core.catalogue import BackendServer
+from geraniumhall_core.confirmations import compute_sparing_interval
 from geraniumhall_core.limits import Share
 from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.orders import ServerRole
@@ -232,6 +233,8 @@
     By then every host that reaches the store has read of the change.
     """
     interval = state.policy.publish_interval * state.interval_factor
+    if state.confirmation_plan.is_sparing:
+        interval = max(interval, compute_sparing_interval(state.policy.usage_window))
     return interval + HANDOVER_MARGIN_SECONDS
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -19,6 +19,11 @@
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import DaemonStarted, PlatformAnswered
 from geraniumhall_core.handlers.access import is_leaving
+from geraniumhall_core.handlers.confirmations import (
+    RECORDS_RETRY_SECONDS,
+    compute_records_pause,
+    reads_stale,
+)
 from geraniumhall_core.handlers.leases import observe_lease
 from geraniumhall_core.handlers.limits import refresh_buckets
 from geraniumhall_core.handlers.part_records import observe_part
@@ -72,7 +77,7 @@
 def start_feeds(state: DaemonState, event: DaemonStarted) -> Iterator[Effect]:
     """Request a listing of every feed."""
     for feed in Feed:
-        yield _request_feed(state, feed)
+        yield _request_feed(state, feed, event.at)
 
 
 @ANSWER_HANDLERS.register(FollowFeed)
@@ -89,12 +94,15 @@
     if feed.failures:
         feed.failures = 0
         # The other hosts may be waiting for this host's counts.
-        state.publishing.next_call_at = event.at
+        if not state.is_sparing:
+            state.publishing.next_call_at = event.at
         yield _log_feed("info", "feed_recovered", purpose.feed)
     is_first = purpose.feed is Feed.RECORDS and not feed.has_synced
     if purpose.feed is Feed.RECORDS and not feed.has_synced:
         restore_from_record(state, answer, event.at)
     since = feed.confirmed_at
+    exact_until = min(feed.exact_until, feed.confirmed_at)
+    feed.exact_until = float("inf") if purpose.is_exact else exact_until
     feed.confirmed_at = max(feed.confirmed_at, _date_answer(event, purpose))
     feed.revision = max(feed.revision, answer.revision)
     if purpose.feed is Feed.RECORDS and not is_first:
@@ -104,7 +112,8 @@
         yield from ask_for_restrictions(state, event.at, event.draws[0])
     if not state.has_buckets:
         refresh_buckets(state, event.at)
-    yield _request_feed(state, purpose.feed, _choose_pause(state, purpose.feed, event))
+    pause = _choose_pause(state, purpose.feed, event)
+    yield _request_feed(state, purpose.feed, event.at, pause)
 
 
 def apply_edit(
@@ -122,13 +131,17 @@
         yield from _apply_changes(state, deletions, now)
 
 
-def _request_feed(state: DaemonState, feed: Feed, delay: float = 0.0) -> CallPlatform:
+def _request_feed(
+    state: DaemonState, feed: Feed, now: float, delay: float = 0.0
+) -> CallPlatform:
     message: PlatformMessage = ListObjects(feed)
-    revision, wait = state.feeds[feed].revision, 0.0
+    revision, wait, is_exact = state.feeds[feed].revision, 0.0, True
     if revision != NO_REVISION:
         wait = _choose_watch_wait(state, feed)
-        message = WatchObjects(feed, revision, wait)
-    return CallPlatform(purpose=FollowFeed(feed, wait), message=message, delay=delay)
+        is_exact = not reads_stale(state, feed, now)
+        message = WatchObjects(feed, revision, wait, is_exact)
+    purpose = FollowFeed(feed, wait, is_exact)
+    return CallPlatform(purpose=purpose, message=message, delay=delay)
 
 
 def _date_answer(event: PlatformAnswered, purpose: FollowFeed) -> float:
@@ -186,7 +199,7 @@
     if isinstance(event.answer, HistoryGone):
         feed_state.revision = NO_REVISION
         yield _log_feed("info", "feed_history_gone", feed)
-        yield _request_feed(state, feed)
+        yield _request_feed(state, feed, event.at)
         return
     if not feed_state.failures:
         yield _log_feed("warning", "feed_lost", feed, _describe_failure(event.answer))
@@ -200,7 +213,10 @@
     feed_state.failures += 1
     # A call that waited in vain has spaced the attempts out already.
     waited = event.at - event.called_at
-    yield _request_feed(state, feed, max(policy.reconnect_base, delay - waited))
+    delay = max(policy.reconnect_base, delay - waited)
+    if feed is Feed.RECORDS and state.is_sparing:
+        delay = max(delay, RECORDS_RETRY_SECONDS)
+    yield _request_feed(state, feed, event.at, delay)
 
 
 def _apply_answer(
@@ -310,6 +326,8 @@
     elif feed is Feed.RECORDS:
         written = state.live_hosts / state.interval_factor
         pause = state.policy.publish_interval / ceil(written / RECORDS_PER_READ)
+        if state.is_sparing:
+            pause = compute_records_pause(state)
     return max(0.0, event.called_at + pause - event.at)
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -70,7 +70,10 @@
         yield _write_lease(state, lease.term, now)
     elif _is_candidate(state, now) and now >= lease.cooldown_until:
         lease.is_calling = True
-        yield CallPlatform(purpose=MaintainLease(), message=GetObject(LEASE_KEY))
+        # A write after an old answer conflicts, so a candidate may read one.
+        is_exact = not state.confirmation_plan.is_sparing
+        message = GetObject(LEASE_KEY, is_exact)
+        yield CallPlatform(purpose=MaintainLease(), message=message)
 
 
 def observe_lease(
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/platform.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/platform.py
@@ -5,7 +5,7 @@
 
 from geraniumhall_core.events import PlatformAnswered
 from geraniumhall_core.handlers.reducer import REDUCER
-from geraniumhall_core.purposes import Purpose
+from geraniumhall_core.purposes import FollowFeed, Purpose
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.state import DaemonState
@@ -16,6 +16,14 @@
 
 @REDUCER.handles(PlatformAnswered)
 def receive_answer(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
-    """Dispatch an answer by the purpose of its call."""
+    """Dispatch an answer by the purpose of its call, and count the call."""
+    state.counters[f"platform.{_name_purpose(event.purpose)}"] += 1
     handler = ANSWER_HANDLERS.find(type(event.purpose))
     yield from handler(state, event, event.purpose)
+
+
+def _name_purpose(purpose: Purpose) -> str:
+    """Return the name under which the calls of a purpose are counted."""
+    if isinstance(purpose, FollowFeed):
+        return f"follow_{purpose.feed.value}"
+    return type(purpose).__name__
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -8,6 +8,10 @@
 from geraniumhall_core.effects import CallPlatform
 from geraniumhall_core.events import PlatformAnswered
 from geraniumhall_core.handlers.access import refresh_membership
+from geraniumhall_core.handlers.confirmations import (
+    WRITE_RETRY_SECONDS,
+    compute_write_delay,
+)
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.hosts import Demand, HostRecord
 from geraniumhall_core.limits import DemandMeter
@@ -22,15 +26,6 @@
 MIN_PUBLISHED_DEMAND = 0.01  # a second, in the unit of the workspace's rate
 
 
-def compute_publish_interval(state: DaemonState) -> float:
-    """Return the seconds between two writes of this host's record.
-
-    The interval grows with the number of hosts, so that the write rate of all
-    hosts together stays bounded.
-    """
-    return state.policy.publish_interval * state.interval_factor
-
-
 def publish_host_record(
     state: DaemonState, now: float, wall_time: float
 ) -> Iterator[Effect]:
@@ -43,14 +38,16 @@
     yield write_host_record(state, now, wall_time)
 
 
-def _find_next_slot(state: DaemonState, now: float) -> float:
+def _find_next_slot(state: DaemonState, now: float, wall_time: float) -> float:
     """Return the next time after `now` at which this host's record is due.
 
     Each host has its own place in the interval, by its name. Hosts that started
     together, or that reached the store again together, would otherwise all write at
     the same moment, and every host would read all records in one long answer.
     """
-    interval = compute_publish_interval(state)
+    if state.is_sparing:
+        return now + compute_write_delay(state, wall_time)
+    interval = state.publish_interval
     place = xxh32_intdigest(state.policy.host) / 2**32 * interval
     return place + (floor((now - place) / interval) + 1) * interval
 
@@ -59,7 +56,7 @@
     """Return the effect that writes this host's current record."""
     publishing = state.publishing
     publishing.is_calling = True
-    publishing.next_call_at = _find_next_slot(state, now)
+    publishing.next_call_at = _find_next_slot(state, now, wall_time)
     publishing.sequence += 1
     rates = {
         name: round(meter.read(now), 3) for name, meter in state.demand_meters.items()
@@ -90,6 +87,9 @@
         current = event.answer.current
         publishing.version = current.version if current else NO_REVISION
         publishing.next_call_at = event.at
+    elif state.is_sparing:
+        retry_at = event.at + WRITE_RETRY_SECONDS
+        publishing.next_call_at = min(publishing.next_call_at, retry_at)
     yield from ()
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/platform.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform.py
@@ -58,9 +58,10 @@
 
 @attrs.frozen
 class GetObject(PlatformMessage):
-    """Read one object."""
+    """Read one object; unless `is_exact`, it may be seconds old."""
 
     key: ObjectKey
+    is_exact: bool = True
 
 
 @attrs.frozen
@@ -103,11 +104,15 @@
 
 @attrs.frozen
 class WatchObjects(PlatformMessage):
-    """Wait up to `wait` seconds for changes to a feed after revision `after`."""
+    """Wait up to `wait` seconds for changes to a feed after revision `after`.
+
+    Unless `is_exact`, the answer may be seconds old.
+    """
 
     feed: Feed
     after: Revision
     wait: float
+    is_exact: bool = True
 
     @property
     def named_revision(self) -> Revision:
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -20,10 +20,14 @@
 
 @attrs.frozen
 class FollowFeed(Purpose):
-    """Update the host's copy of a feed by a watch of `wait` seconds, or a listing."""
+    """Update the host's copy of a feed by a watch of `wait` seconds, or a listing.
+
+    Unless `is_exact`, the answer may be seconds old.
+    """
 
     feed: Feed
     wait: float = 0.0
+    is_exact: bool = True
 
 
 @attrs.frozen
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -6,6 +6,11 @@
 from xxhash import xxh32_intdigest
 
 from geraniumhall_core.catalogue import Catalogue
+from geraniumhall_core.confirmations import (
+    CONFIRMATION_POLICIES,
+    ConfirmationPlan,
+    compute_sparing_interval,
+)
 from geraniumhall_core.fairness import EntryQueue
 from geraniumhall_core.hosts import HostsView, KnownHost
 from geraniumhall_core.leases import LeaseState
@@ -31,6 +36,7 @@
 # At the default interval of 1.5 s, 40 hosts write 27 records a second in all.
 COVERED_FRACTION = 0.5  # of the silence after which a host counts as down
 HOSTS_AT_BASE_INTERVAL = 40
+MISSED_WRITES = 3  # of a host's record, after which it counts as down
 # The rest is for hosts not discovered yet and for requests that release a KV cache.
 USABLE_CONNECTION_FRACTION = 0.8
 
@@ -57,12 +63,14 @@
 
     Without a `revision` the next call is a full listing. `confirmed_at` is the
     time at which the newest successful call was sent: the copy is known to have
-    been current then. `failures` counts failed calls in a row. `unusable` holds the
-    objects that can't be decoded, with the reason.
+    been current then. If answers since may have been old, `exact_until` is when the
+    last exact one confirmed it, and infinity otherwise. `failures` counts failed
+    calls in a row. `unusable` holds the objects that can't be decoded, with the reason.
     """
 
     revision: Revision = NO_REVISION
     confirmed_at: float = float("-inf")
+    exact_until: float = float("inf")
     failures: int = 0
     unusable: dict[ObjectKey | None, str] = attrs.field(factory=dict)
 
@@ -253,18 +261,55 @@
         """
         return max(1.0, self.live_hosts / HOSTS_AT_BASE_INTERVAL)
 
+    @property
+    def confirmation_plan(self) -> ConfirmationPlan:
+        """How this host keeps its copy of the store current."""
+        return CONFIRMATION_POLICIES.find(self.policy.confirmation)()
+
+    @property
+    def is_sparing(self) -> bool:
+        """Whether no promise depends on the records that daemons write."""
+        if not self.confirmation_plan.is_sparing:
+            return False
+        is_limited = self.restrictions.count_limited() > 0
+        return not self.catalogue.depends_on_records and not is_limited
+
+    @property
+    def publish_interval(self) -> float:
+        """The seconds between two writes of this host's record.
+
+        They grow with the number of hosts, so that the write rate of all hosts
+        together stays bounded.
+        """
+        interval = self.policy.publish_interval * self.interval_factor
+        if self.is_sparing:
+            window = self.policy.usage_window
+            return max(interval, compute_sparing_interval(window))
+        return interval
+
+    @property
+    def silence_bound(self) -> float:
+        """The seconds of silence after which another host counts as down.
+
+        Hosts may learn at different times that records are needed, so a sparing plan
+        always allows the longer interval of writing.
+        """
+        silence = self.policy.host_silence * self.interval_factor
+        if self.confirmation_plan.is_sparing:
+            interval = compute_sparing_interval(self.policy.usage_window)
+            return max(silence, interval * MISSED_WRITES)
+        return silence
+
     def list_live_hosts(self, now: float) -> dict[str, KnownHost]:
         """Return the other hosts that published recently and are not leaving."""
-        return self.hosts.list_live(
-            now, self.policy.host_silence * self.interval_factor
-        )
+        return self.hosts.list_live(now, self.silence_bound)
 
     def list_claimants(self, now: float) -> dict[str, KnownHost]:
         """Return the other hosts that may use a share of the workspaces' limits.
 
         Without contact to the store, that is as of a time shortly after the last one.
         """
-        silence = self.policy.host_silence * self.interval_factor
+        silence = self.silence_bound
         confirmed_at = self.feeds[Feed.RECORDS].confirmed_at
         as_of = min(now, confirmed_at + silence * COVERED_FRACTION)
         return self.hosts.list_claimants(as_of, silence)
@@ -274,14 +319,17 @@
 
         `unread` is in seconds.
         """
-        covered = self.policy.host_silence * self.interval_factor * COVERED_FRACTION
+        covered = self.silence_bound * COVERED_FRACTION
         if unread > covered:
             self.hosts.excuse_silence(unread - covered)
 
     def compute_catalogue_age(self, now: float) -> float:
         """Return the seconds since keys, limits and routes were last confirmed."""
-        followed = (self.feeds[Feed.CONFIGURATION], self.feeds[Feed.RECORDS])
-        return now - min(feed.confirmed_at for feed in followed)
+        confirmed_at = self.feeds[Feed.CONFIGURATION].confirmed_at
+        if not self.is_sparing:
+            records = self.feeds[Feed.RECORDS]
+            confirmed_at = min(confirmed_at, records.confirmed_at, records.exact_until)
+        return now - confirmed_at
 
     def is_ready(self, now: float) -> bool:
         """Return whether the load balancer should send requests to this host."""
--- /dev/null
+++ b/packages/geraniumhall-core/tests/test_confirmations.py
@@ -0,0 +1,229 @@
+"""Tests of the calls to the store that a host leaves out under a sparing policy."""
+
+import unittest
+from typing import Any
+
+from builders import (
+    LISTED_AT,
+    NOW,
+    apply_feed_answer,
+    build_answer,
+    build_listing,
+    build_records,
+    build_state,
+    find_effect,
+    reduce,
+)
+
+from geraniumhall_core.catalogue import CONFIGURATION_KEY, Configuration, Workspace
+from geraniumhall_core.effects import CallPlatform
+from geraniumhall_core.events import Ticked
+from geraniumhall_core.handlers.confirmations import (
+    WRITE_SPREAD_FRACTION,
+    compute_records_pause,
+    compute_write_delay,
+)
+from geraniumhall_core.hosts import HostRecord
+from geraniumhall_core.leases import Lease
+from geraniumhall_core.platform import (
+    Changes,
+    Feed,
+    GetObject,
+    Listing,
+    ObjectFound,
+    PlatformFailure,
+    PutObject,
+    Written,
+)
+from geraniumhall_core.policy import Policy
+from geraniumhall_core.purposes import FollowFeed, MaintainLease, PublishHost
+from geraniumhall_core.records import VersionedRecord
+from geraniumhall_core.state import DaemonState
+from geraniumhall_core.verdict import Verdict
+
+WINDOW_SECONDS = 5.0
+POLICY = {"confirmation": "sparing", "usage_window": WINDOW_SECONDS, "stale_after": 4.5}
+DOWN = PlatformFailure("down", Verdict.NOT_RUN)
+
+
+def build_sparing(host: str = "h1", **fields: Any) -> DaemonState:
+    """Return the state of a host whose workspaces are in the configuration."""
+    policy = Policy(host=host, failure_domain="a", incarnation=1, **POLICY)
+    state = DaemonState.from_policy(policy)
+    configuration = Configuration(version=1, **fields)
+    written = VersionedRecord(CONFIGURATION_KEY, 1, configuration)
+    apply_feed_answer(state, Feed.CONFIGURATION, Listing(100, (written,)))
+    for feed in (Feed.SERVERS, Feed.RECORDS):
+        apply_feed_answer(state, feed, Listing(100, ()))
+    return state
+
+
+def read_records(state: DaemonState, at: float, is_exact: bool = False) -> CallPlatform:
+    """Answer a read of the records, and return the next one."""
+    purpose = FollowFeed(Feed.RECORDS, is_exact=is_exact)
+    answer = Changes(int(100 + at), ())
+    effects = reduce(state, build_answer(purpose, answer, at=at))
+    return find_effect(effects, CallPlatform)
+
+
+class ReadTest(unittest.TestCase):
+    """Records are read from a copy of the store while no promise depends on them."""
+
+    def test_records_may_be_old(self) -> None:
+        """After the first read, records are read where it is cheap."""
+        self.assertFalse(read_records(build_sparing(), NOW).message.is_exact)
+
+    def test_first_read_is_exact(self) -> None:
+        """A host learns exactly what its earlier process had counted."""
+        policy = Policy(host="h1", failure_domain="a", incarnation=1, **POLICY)
+        state = DaemonState.from_policy(policy)
+        effects = apply_feed_answer(state, Feed.RECORDS, DOWN)
+        call = find_effect(effects, CallPlatform)
+        self.assertTrue(call.purpose.is_exact)
+
+    def test_limit_makes_reads_exact(self) -> None:
+        """A workspace with a rate needs the demand of all hosts."""
+        limited = {"audit": Workspace(rate=10.0)}
+        state = build_sparing(workspaces=limited)
+        self.assertTrue(read_records(state, NOW).message.is_exact)
+
+    def test_edited_records_make_reads_exact(self) -> None:
+        """Keys that operators edit one by one are among the records."""
+        state = build_state(policy=POLICY)
+        self.assertTrue(read_records(state, NOW).message.is_exact)
+
+    def test_lease_holder_reads_exactly(self) -> None:
+        """The host that seals usage reads the counts of all hosts in time."""
+        state = build_sparing()
+        number = state.lease.start_write(NOW)
+        lease = Lease(host="h1", incarnation=1, term=1, renewal=number)
+        answer = build_answer(MaintainLease(lease), Written(102), at=NOW)
+        reduce(state, answer)
+        self.assertTrue(read_records(state, NOW).message.is_exact)
+
+    def test_other_policies_read_exactly(self) -> None:
+        """Without the setting every read is exact."""
+        state = build_sparing()
+        state.policy = Policy(host="h1", failure_domain="a", incarnation=1)
+        self.assertTrue(read_records(state, NOW).message.is_exact)
+
+    def test_reads_are_short(self) -> None:
+        """With many hosts a read has at most 20 records on average."""
+        for hosts in (1, 9, 41, 86, 590):
+            with self.subTest(hosts=hosts):
+                state = build_sparing()
+                state.live_hosts = hosts
+                written = hosts / state.publish_interval
+                self.assertLessEqual(written * compute_records_pause(state), 20.01)
+
+
+class AgeTest(unittest.TestCase):
+    """What is as old as its oldest copy that matters."""
+
+    def test_unneeded_records_have_no_age(self) -> None:
+        """Only the configuration decides while nothing is in the records."""
+        state = build_sparing()
+        self.assertEqual(state.compute_catalogue_age(LISTED_AT + 9.0), 9.0)
+        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, ()), at=9.0)
+        self.assertEqual(state.compute_catalogue_age(10.0), 1.0)
+
+    def test_old_answers_confirm_nothing(self) -> None:
+        """Once a limit applies, only exact reads confirm the records."""
+        state = build_sparing()
+        read_records(state, 8.0)
+        limited = Configuration(version=2, workspaces={"audit": Workspace(rate=1.0)})
+        change = VersionedRecord(CONFIGURATION_KEY, 101, limited)
+        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, (change,)), at=9.0)
+        self.assertEqual(state.compute_catalogue_age(9.0), 9.0 - LISTED_AT)
+        read_records(state, 9.0, is_exact=True)
+        self.assertEqual(state.compute_catalogue_age(9.0), 0.0)
+
+    def test_withdrawn_key_bound_holds_for_edited_keys(self) -> None:
+        """A host with edited keys is unready once their records are unconfirmed."""
+        state = build_state(policy=POLICY)
+        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, ()), at=8.0)
+        self.assertFalse(state.is_ready(8.0))
+
+    def test_listing_of_edited_records_keeps_the_plan_exact(self) -> None:
+        """Edited records that are listed later make the host exact again."""
+        state = build_sparing()
+        listing = build_listing(build_records(), revision=200)
+        apply_feed_answer(state, Feed.RECORDS, listing, at=NOW)
+        self.assertFalse(state.is_sparing)
+
+
+class WriteTest(unittest.TestCase):
+    """A host's record is written once after the end of each usage window."""
+
+    def tick(self, state: DaemonState, at: float) -> list[CallPlatform]:
+        """Return the writes of the host's record that a tick brings."""
+        event = Ticked(at=at, wall_time=1000.0 + at, draws=(0.5, 0.5))
+        return [
+            effect
+            for effect in reduce(state, event)
+            if isinstance(effect, CallPlatform)
+            and isinstance(effect.purpose, PublishHost)
+        ]
+
+    def test_each_host_writes_after_the_window(self) -> None:
+        """The place of each host lies early in the interval, at any time of day."""
+        for number in range(40):
+            state = build_sparing(f"host{number}")
+            for wall_time in (1000.0, 1001.7, 1004.9):
+                with self.subTest(number=number, wall_time=wall_time):
+                    due = wall_time + compute_write_delay(state, wall_time)
+                    self.assertGreater(due, wall_time)
+                    self.assertLessEqual(due, wall_time + WINDOW_SECONDS)
+                    place = due % WINDOW_SECONDS
+                    latest = WINDOW_SECONDS * WRITE_SPREAD_FRACTION
+                    self.assertLessEqual(place, latest)
+
+    def test_one_write_a_window(self) -> None:
+        """In a minute a host writes its record once in each window."""
+        state = build_sparing()
+        writes = 0
+        for tick in range(1, 241):
+            for call in self.tick(state, NOW + tick * 0.25):
+                writes += 1
+                written = build_answer(call.purpose, Written(200 + tick), at=NOW)
+                reduce(state, written)
+        self.assertLessEqual(writes, 60.0 / WINDOW_SECONDS + 1)
+
+    def test_failed_write_is_repeated_soon(self) -> None:
+        """Counts are not late by a whole window after a call that failed."""
+        state = build_sparing()
+        (call,) = self.tick(state, NOW)
+        reduce(state, build_answer(call.purpose, DOWN, at=NOW))
+        self.assertTrue(self.tick(state, NOW + 2.1))
+
+    def test_silent_host_counts_as_live_for_longer(self) -> None:
+        """A host that writes once in a window is not down after two of them."""
+        state = build_sparing()
+        record = HostRecord(failure_domain="b", incarnation=1, sequence=1)
+        state.hosts.observe("h2", record, NOW)
+        self.assertIn("h2", state.list_live_hosts(NOW + 2 * WINDOW_SECONDS))
+        self.assertNotIn("h2", state.list_live_hosts(NOW + 3.1 * WINDOW_SECONDS))
+
+
+class LeaseTest(unittest.TestCase):
+    """A candidate for the lease may read an old one, but writes on its version."""
+
+    def test_candidate_reads_where_it_is_cheap(self) -> None:
+        """The read of a candidate is not exact, and the write names the version."""
+        state = build_sparing()
+        state.catalogue.entries["draft"] = None  # type: ignore[assignment]
+        event = Ticked(at=NOW, wall_time=NOW, draws=(0.5, 0.5))
+        calls = [e for e in reduce(state, event) if isinstance(e, CallPlatform)]
+        (read,) = [call for call in calls if isinstance(call.message, GetObject)]
+        self.assertFalse(read.message.is_exact)
+        old = VersionedRecord(
+            read.message.key, 7, Lease(host="", incarnation=0, term=3, renewal=0)
+        )
+        effects = reduce(state, build_answer(read.purpose, ObjectFound(old), at=NOW))
+        write = find_effect(effects, CallPlatform).message
+        self.assertIsInstance(write, PutObject)
+        self.assertEqual(write.expected_version, 7)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/geraniumhall-core/tests/test_spread.py
+++ b/packages/geraniumhall-core/tests/test_spread.py
@@ -20,7 +20,6 @@
 )
 from geraniumhall_core.effects import CallPlatform, PrefillPrompt, RelayRequest
 from geraniumhall_core.events import PrefillEnded, RequestArrived, Ticked
-from geraniumhall_core.handlers.publishing import compute_publish_interval
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.platform import Feed, Listing, Written
 from geraniumhall_core.policy import Policy
@@ -212,7 +211,7 @@
         even = 0.0
         for number, state in enumerate(hosts):
             state.live_hosts = HOSTS
-            even += 0.5 / compute_publish_interval(state)
+            even += 0.5 / state.publish_interval
             writes = list_writes(state, NOW + 0.3 * number / HOSTS)
             hosts[number].publishing.next_call_at = NOW + 10.0  # the store is back
             writes += list_writes(state, NOW + 10.0)
