Confirm copies by the word of a reader of the failure domain

Change: the policy `relayed`. Two hosts of each failure domain, by rendezvous among the live ones, read the store. The others ask them in turn, every 0.5 s, with a number that they never use again; the answer has the number, the reader's revision of each feed, the revision of its newest change and the age of its own confirmation. A copy that has that change counts as confirmed as of when the question was sent, less that age. Changes of servers come with the answer; a new configuration is read once from the store, since it may be large. Nobody's word is needed for safety: an unproven copy only grows old, and its host reads the store itself at 0.8 of the age at which it would become unready. A reader that gives three useless answers in a row is left out for 5 s, and the next in rank becomes a reader by being asked.

Ruled out: comparing wall clocks; dating a proof by its arrival (mutation); relaying while deletions after an outage are deferred; asking both readers each time, which doubles the datagrams.

--- a/packages/geraniumhall-core/src/geraniumhall_core/confirmations.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/confirmations.py
@@ -18,6 +18,7 @@
 from geraniumhall_core.registry import Registry
 
 MAX_SPARING_INTERVAL_SECONDS = 6.0
+READERS_PER_DOMAIN = 2  # so that one may fail
 
 
 @attrs.frozen(kw_only=True)
@@ -26,10 +27,12 @@
 
     With `is_sparing`, records of hosts are written once in a usage window and read
     from whichever copy of the store is cheapest, while no limit and no access of
-    callers depends on records.
+    callers depends on records. `readers` is how many hosts of each failure domain
+    read the configuration and the servers from the store; None means all.
     """
 
     is_sparing: bool = False
+    readers: int | None = None
 
 
 ConfirmationPolicy = Callable[[], ConfirmationPlan]
@@ -50,6 +53,12 @@
     return ConfirmationPlan(is_sparing=True)
 
 
+@CONFIRMATION_POLICIES.register("relayed")
+def relay_copies() -> ConfirmationPlan:
+    """Let a few readers of each failure domain confirm the copies of the others."""
+    return ConfirmationPlan(is_sparing=True, readers=READERS_PER_DOMAIN)
+
+
 def compute_sparing_interval(window: float) -> float:
     """Return the seconds between two writes of a host's record.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
@@ -1,21 +1,30 @@
 """Decides which calls to the store a promise needs, under the confirmation policy.
 
-This answers the load of many hosts that each read all records of all others and
-write their own by the clock.
+This answers the load of many hosts that each read all records of all others, write
+their own by the clock and confirm every feed by themselves. With readers in the plan, a
+few hosts of each failure domain read the store, and the others, the followers, ask
+them; see `handlers.copies`.
 """
 
 from math import ceil, floor
 
-from xxhash import xxh32_intdigest
+from xxhash import xxh32_intdigest, xxh64_intdigest
 
+from geraniumhall_core.copies import ChangeBatch
 from geraniumhall_core.handlers.leases import find_held_term
-from geraniumhall_core.platform import Feed
+from geraniumhall_core.platform import Changes, Feed, Listing
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 
 RECORDS_PER_SPARING_READ = 20  # on average
 WRITE_SPREAD_FRACTION = 0.6  # of the interval between writes
 WRITE_RETRY_SECONDS = 2.0
 RECORDS_RETRY_SECONDS = 2.0
+RELAYED_FEEDS = (Feed.CONFIGURATION, Feed.SERVERS)
+OWN_READ_FRACTION = 0.8  # of the age at which a host becomes unready
+FOLLOWER_WAIT_SECONDS = 0.05
+FOLLOWER_RETRY_SECONDS = 1.0
+READER_PAUSE_SECONDS = 0.3  # between reads of servers, which change together
 
 
 def reads_stale(state: DaemonState, feed: Feed, now: float) -> bool:
@@ -51,3 +60,118 @@
     offset = place * interval * WRITE_SPREAD_FRACTION
     due = (floor((wall_time - offset) / interval) + 1) * interval + offset
     return due - wall_time
+
+
+def is_reader(state: DaemonState, now: float) -> bool:
+    """Return whether this host reads the configuration and servers from the store.
+
+    Without readers in the plan every host does, and so does one that others ask.
+    """
+    plan = state.confirmation_plan
+    if plan.readers is None or not state.policy.peer_address:
+        return True
+    relay = state.relay
+    return state.policy.host in relay.readers or now < relay.asked_until
+
+
+def list_readers(state: DaemonState, now: float) -> tuple[str, ...]:
+    """Return the readers of this host's failure domain, best first.
+
+    Rendezvous hashing picks them among the live hosts that receive messages. Those
+    that gave this host no useful answers are left out for a time.
+    """
+    domain = state.policy.failure_domain
+    names = [
+        name
+        for name, known in state.list_live_hosts(now).items()
+        if known.record.failure_domain == domain and known.record.peer_address
+        if now >= state.relay.suspects.get(name, float("-inf"))
+    ]
+    if not state.is_draining:
+        names.append(state.policy.host)
+    seed = xxh64_intdigest(domain)
+    ranked = sorted(names, key=lambda name: xxh64_intdigest(name, seed=seed))
+    return tuple(ranked[: state.confirmation_plan.readers])
+
+
+def rest_feed(state: DaemonState, feed: Feed, now: float) -> bool:
+    """Leave a feed unread if readers confirm it; return whether it is left unread."""
+    if feed not in RELAYED_FEEDS or is_reader(state, now):
+        return False
+    state.relay.resting.add(feed)
+    state.relay.differing.discard(feed)
+    return True
+
+
+def list_due_feeds(state: DaemonState, now: float) -> list[Feed]:
+    """Return the resting feeds that this host has to read from the store now.
+
+    A follower reads once what no reader has proven for a part of the bound, or what no
+    reader can relay. While the store fails it tries only the configuration, since the
+    servers can't be read either.
+    """
+    relay = state.relay
+    if is_reader(state, now):
+        return sorted(relay.resting, key=lambda feed: feed.value)
+    is_failing = bool(state.feeds[Feed.CONFIGURATION].failures)
+    return [
+        feed
+        for feed in RELAYED_FEEDS
+        if feed in relay.resting
+        and now >= relay.retry_at.get(feed, float("-inf"))
+        and not (is_failing and feed is Feed.SERVERS)
+        and (feed in relay.differing or _is_unproven(state, feed, now))
+    ]
+
+
+def postpone_feed(state: DaemonState, feed: Feed, now: float, delay: float) -> bool:
+    """Leave a feed unread after a read that failed; return whether it is left.
+
+    A follower asks its readers meanwhile, so it repeats the read less often.
+    """
+    if feed not in RELAYED_FEEDS or is_reader(state, now):
+        return False
+    state.relay.resting.add(feed)
+    state.relay.retry_at[feed] = now + max(delay, FOLLOWER_RETRY_SECONDS)
+    return True
+
+
+def choose_relayed_wait(state: DaemonState, feed: Feed, now: float) -> float | None:
+    """Return how long a watch of a relayed feed stays open, in seconds.
+
+    A reader's is short, since its age adds to that of its followers' copies, and ends
+    before its own copy is too old. A follower's single read waits for nothing. None
+    leaves the choice to the feed.
+    """
+    if state.confirmation_plan.readers is None or feed not in RELAYED_FEEDS:
+        return None
+    if not is_reader(state, now):
+        return FOLLOWER_WAIT_SECONDS
+    age = now - state.feeds[feed].confirmed_at
+    left = state.policy.unready_after * OWN_READ_FRACTION - age
+    return max(FOLLOWER_WAIT_SECONDS, min(state.policy.watch_wait, left))
+
+
+def record_answer(
+    state: DaemonState, feed: Feed, answer: Listing | Changes, after: Revision
+) -> None:
+    """Record what an answer has changed, so that it can be relayed.
+
+    Only servers are small enough; of the configuration just the revision is recorded.
+    """
+    if state.confirmation_plan.readers is None or feed not in RELAYED_FEEDS:
+        return
+    log = state.relay.get_log(feed)
+    until = answer.revision
+    if isinstance(answer, Listing) or answer.unusable:
+        log.restart(until)
+    elif answer.changes:
+        if feed is Feed.SERVERS:
+            log.add(ChangeBatch(after, until, answer.changes))
+        else:
+            log.restart(until)
+
+
+def _is_unproven(state: DaemonState, feed: Feed, now: float) -> bool:
+    bound = state.policy.unready_after * OWN_READ_FRACTION
+    return now - state.feeds[feed].confirmed_at > bound
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -20,9 +20,15 @@
 from geraniumhall_core.events import DaemonStarted, PlatformAnswered
 from geraniumhall_core.handlers.access import is_leaving
 from geraniumhall_core.handlers.confirmations import (
+    READER_PAUSE_SECONDS,
     RECORDS_RETRY_SECONDS,
+    choose_relayed_wait,
     compute_records_pause,
+    list_due_feeds,
+    postpone_feed,
     reads_stale,
+    record_answer,
+    rest_feed,
 )
 from geraniumhall_core.handlers.leases import observe_lease
 from geraniumhall_core.handlers.limits import refresh_buckets
@@ -100,6 +106,7 @@
     is_first = purpose.feed is Feed.RECORDS and not feed.has_synced
     if purpose.feed is Feed.RECORDS and not feed.has_synced:
         restore_from_record(state, answer, event.at)
+    record_answer(state, purpose.feed, answer, feed.revision)
     since = feed.confirmed_at
     exact_until = min(feed.exact_until, feed.confirmed_at)
     feed.exact_until = float("inf") if purpose.is_exact else exact_until
@@ -112,6 +119,8 @@
         yield from ask_for_restrictions(state, event.at, event.draws[0])
     if not state.has_buckets:
         refresh_buckets(state, event.at)
+    if rest_feed(state, purpose.feed, event.at):
+        return
     pause = _choose_pause(state, purpose.feed, event)
     yield _request_feed(state, purpose.feed, event.at, pause)
 
@@ -123,6 +132,23 @@
     yield from _apply_changes(state, [change], now)
 
 
+def resume_feeds(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Read the resting feeds that no reader confirms in time."""
+    for feed in list_due_feeds(state, now):
+        state.relay.resting.discard(feed)
+        yield _request_feed(state, feed, now)
+
+
+def apply_relayed(
+    state: DaemonState, feed: Feed, changes: Changes, now: float
+) -> Iterator[Effect]:
+    """Apply changes that a reader has relayed, as if the store had answered them."""
+    feed_state = state.feeds[feed]
+    record_answer(state, feed, changes, feed_state.revision)
+    feed_state.revision = max(feed_state.revision, changes.revision)
+    yield from _apply_answer(state, feed, changes, now, feed_state.confirmed_at)
+
+
 def apply_deferred_deletions(state: DaemonState, now: float) -> Iterator[Effect]:
     """Remove the servers that did not register again after an outage."""
     deferred = state.deferred
@@ -137,7 +163,7 @@
     message: PlatformMessage = ListObjects(feed)
     revision, wait, is_exact = state.feeds[feed].revision, 0.0, True
     if revision != NO_REVISION:
-        wait = _choose_watch_wait(state, feed)
+        wait = _choose_watch_wait(state, feed, now)
         is_exact = not reads_stale(state, feed, now)
         message = WatchObjects(feed, revision, wait, is_exact)
     purpose = FollowFeed(feed, wait, is_exact)
@@ -216,7 +242,8 @@
     delay = max(policy.reconnect_base, delay - waited)
     if feed is Feed.RECORDS and state.is_sparing:
         delay = max(delay, RECORDS_RETRY_SECONDS)
-    yield _request_feed(state, feed, event.at, delay)
+    if not postpone_feed(state, feed, event.at, delay):
+        yield _request_feed(state, feed, event.at, delay)
 
 
 def _apply_answer(
@@ -297,7 +324,7 @@
     )
 
 
-def _choose_watch_wait(state: DaemonState, feed: Feed) -> float:
+def _choose_watch_wait(state: DaemonState, feed: Feed, now: float) -> float:
     """Return for how many seconds the platform may hold a watch open.
 
     Keys and limits have to be confirmed regularly, and at once after a failure.
@@ -306,6 +333,9 @@
     """
     if state.feeds[feed].failures:
         return RECONFIRM_WAIT_SECONDS
+    relayed_wait = choose_relayed_wait(state, feed, now)
+    if relayed_wait is not None:
+        return relayed_wait
     return state.policy.watch_wait * WAIT_FACTORS[feed]
 
 
@@ -323,6 +353,8 @@
             (state.interval_factor - 1) * SERVERS_PAUSE_SECONDS,
             state.policy.servers_max_pause,
         )
+        if state.confirmation_plan.readers is not None:
+            pause = READER_PAUSE_SECONDS
     elif feed is Feed.RECORDS:
         written = state.live_hosts / state.interval_factor
         pause = state.policy.publish_interval / ceil(written / RECORDS_PER_READ)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -18,6 +18,8 @@
     Ticked,
 )
 from geraniumhall_core.handlers.borrowing import expire_rounds
+from geraniumhall_core.handlers.confirmations import is_reader
+from geraniumhall_core.handlers.copies import confirm_copies
 from geraniumhall_core.handlers.feeds import apply_deferred_deletions
 from geraniumhall_core.handlers.grants import expire_grant_rounds
 from geraniumhall_core.handlers.leases import maintain_lease, release_lease
@@ -52,6 +54,7 @@
     yield from expire_rounds(state, event.at, event.draws)
     yield from expire_grant_rounds(state, event.at, event.draws)
     yield from apply_deferred_deletions(state, event.at)
+    yield from confirm_copies(state, event.at)
     expire_reports(state, event.at)
     expire_summaries(state, event.at)
     yield from send_summaries(state, event.at)
@@ -135,6 +138,13 @@
         yield write_host_record(state, now, wall_time)
 
 
+def _compute_age(state: DaemonState, now: float) -> float:
+    """Return the age of the catalogue in seconds, -1 before it was first read."""
+    if not state.all_feeds_synced:
+        return -1.0
+    return round(state.compute_catalogue_age(now), 3)
+
+
 def _report_metrics(state: DaemonState, now: float) -> Iterator[Effect]:
     metrics = state.metrics
     if now - metrics.reported_at < state.policy.metrics_interval:
@@ -157,5 +167,7 @@
             Metric("servers.limited", state.restrictions.count_limited()),
             Metric("servers.leaving", state.restrictions.count_leaving()),
             Metric("configuration", configuration.version if configuration else 0),
+            Metric("copies.reader", int(is_reader(state, now))),
+            Metric("copies.age", _compute_age(state, now)),
         ),
     )
--- a/packages/geraniumhall-core/src/geraniumhall_core/peers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/peers.py
@@ -3,6 +3,7 @@
 No guarantee depends on their delivery.
 """
 
+from geraniumhall_core.copies import CopyAnswer, CopyQuery
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.parts import PartReport
 from geraniumhall_core.reports import LoadReport
@@ -18,4 +19,6 @@
     | GrantRequest
     | Grant
     | WorkSummary
+    | CopyQuery
+    | CopyAnswer
 )
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -11,6 +11,7 @@
     ConfirmationPlan,
     compute_sparing_interval,
 )
+from geraniumhall_core.copies import RelayState
 from geraniumhall_core.fairness import EntryQueue
 from geraniumhall_core.hosts import HostsView, KnownHost
 from geraniumhall_core.leases import LeaseState
@@ -196,6 +197,7 @@
     hosts: HostsView = attrs.field(factory=HostsView)
     publishing: PublishingState = attrs.field(factory=PublishingState)
     foreign_demand: ForeignDemand = attrs.field(factory=ForeignDemand)
+    relay: RelayState = attrs.field(factory=RelayState)
     reports: ReportsView = attrs.field(factory=ReportsView)
     reporting: ReportingState = attrs.field(factory=ReportingState)
     collecting: CollectingState = attrs.field(factory=CollectingState)
--- a/packages/geraniumhall-core/tests/test_confirmations.py
+++ b/packages/geraniumhall-core/tests/test_confirmations.py
@@ -38,6 +38,7 @@
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.purposes import FollowFeed, MaintainLease, PublishHost
 from geraniumhall_core.records import VersionedRecord
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -51,17 +52,19 @@
     policy = Policy(host=host, failure_domain="a", incarnation=1, **POLICY)
     state = DaemonState.from_policy(policy)
     configuration = Configuration(version=1, **fields)
-    written = VersionedRecord(CONFIGURATION_KEY, 1, configuration)
-    apply_feed_answer(state, Feed.CONFIGURATION, Listing(100, (written,)))
+    written = VersionedRecord(CONFIGURATION_KEY, Revision(number=1), configuration)
+    apply_feed_answer(
+        state, Feed.CONFIGURATION, Listing(Revision(number=100), (written,))
+    )
     for feed in (Feed.SERVERS, Feed.RECORDS):
-        apply_feed_answer(state, feed, Listing(100, ()))
+        apply_feed_answer(state, feed, Listing(Revision(number=100), ()))
     return state
 
 
 def read_records(state: DaemonState, at: float, is_exact: bool = False) -> CallPlatform:
     """Answer a read of the records, and return the next one."""
     purpose = FollowFeed(Feed.RECORDS, is_exact=is_exact)
-    answer = Changes(int(100 + at), ())
+    answer = Changes(Revision(number=int(100 + at)), ())
     effects = reduce(state, build_answer(purpose, answer, at=at))
     return find_effect(effects, CallPlatform)
 
@@ -97,7 +100,9 @@
         state = build_sparing()
         number = state.lease.start_write(NOW)
         lease = Lease(host="h1", incarnation=1, term=1, renewal=number)
-        answer = build_answer(MaintainLease(lease), Written(102), at=NOW)
+        answer = build_answer(
+            MaintainLease(lease), Written(Revision(number=102)), at=NOW
+        )
         reduce(state, answer)
         self.assertTrue(read_records(state, NOW).message.is_exact)
 
@@ -124,7 +129,9 @@
         """Only the configuration decides while nothing is in the records."""
         state = build_sparing()
         self.assertEqual(state.compute_catalogue_age(LISTED_AT + 9.0), 9.0)
-        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, ()), at=9.0)
+        apply_feed_answer(
+            state, Feed.CONFIGURATION, Changes(Revision(number=101), ()), at=9.0
+        )
         self.assertEqual(state.compute_catalogue_age(10.0), 1.0)
 
     def test_old_answers_confirm_nothing(self) -> None:
@@ -132,8 +139,10 @@
         state = build_sparing()
         read_records(state, 8.0)
         limited = Configuration(version=2, workspaces={"audit": Workspace(rate=1.0)})
-        change = VersionedRecord(CONFIGURATION_KEY, 101, limited)
-        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, (change,)), at=9.0)
+        change = VersionedRecord(CONFIGURATION_KEY, Revision(number=101), limited)
+        apply_feed_answer(
+            state, Feed.CONFIGURATION, Changes(Revision(number=101), (change,)), at=9.0
+        )
         self.assertEqual(state.compute_catalogue_age(9.0), 9.0 - LISTED_AT)
         read_records(state, 9.0, is_exact=True)
         self.assertEqual(state.compute_catalogue_age(9.0), 0.0)
@@ -141,7 +150,9 @@
     def test_withdrawn_key_bound_holds_for_edited_keys(self) -> None:
         """A host with edited keys is unready once their records are unconfirmed."""
         state = build_state(policy=POLICY)
-        apply_feed_answer(state, Feed.CONFIGURATION, Changes(101, ()), at=8.0)
+        apply_feed_answer(
+            state, Feed.CONFIGURATION, Changes(Revision(number=101), ()), at=8.0
+        )
         self.assertFalse(state.is_ready(8.0))
 
     def test_listing_of_edited_records_keeps_the_plan_exact(self) -> None:
@@ -185,7 +196,9 @@
         for tick in range(1, 241):
             for call in self.tick(state, NOW + tick * 0.25):
                 writes += 1
-                written = build_answer(call.purpose, Written(200 + tick), at=NOW)
+                written = build_answer(
+                    call.purpose, Written(Revision(number=200 + tick)), at=NOW
+                )
                 reduce(state, written)
         self.assertLessEqual(writes, 60.0 / WINDOW_SECONDS + 1)
 
@@ -217,12 +230,14 @@
         (read,) = [call for call in calls if isinstance(call.message, GetObject)]
         self.assertFalse(read.message.is_exact)
         old = VersionedRecord(
-            read.message.key, 7, Lease(host="", incarnation=0, term=3, renewal=0)
+            read.message.key,
+            Revision(number=7),
+            Lease(host="", incarnation=0, term=3, renewal=0),
         )
         effects = reduce(state, build_answer(read.purpose, ObjectFound(old), at=NOW))
         write = find_effect(effects, CallPlatform).message
         self.assertIsInstance(write, PutObject)
-        self.assertEqual(write.expected_version, 7)
+        self.assertEqual(write.expected_version, Revision(number=7))
 
 
 if __name__ == "__main__":
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -12,6 +12,7 @@
 from msgpack import packb, unpackb
 from msgpack.exceptions import UnpackException
 
+from geraniumhall_core.copies import CopyAnswer, CopyQuery
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.notices import Incarnation
 from geraniumhall_core.parts import PLAIN_NAME, CrashId, PartCrash, PartHold, PartReport
@@ -28,6 +29,12 @@
 )
 from geraniumhall_core.summaries import WorkSummary
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
+from geraniumhall_wire.copies import (
+    decode_copy_answer,
+    decode_copy_query,
+    encode_copy_answer,
+    encode_copy_query,
+)
 from geraniumhall_wire.notices import MAX_REQUEST_LIMIT
 
 FORMAT_VERSION = 3
@@ -40,6 +47,12 @@
     GrantRequest: "ask_token",
     Grant: "token",
     WorkSummary: "sum",
+    CopyQuery: "ask_copy",
+    CopyAnswer: "copy",
+}
+FIELD_ENCODERS: dict[type, Callable[[Any], Any]] = {
+    CopyQuery: encode_copy_query,
+    CopyAnswer: encode_copy_answer,
 }
 
 MAX_NUMBER = 2**53  # of a statement; hosts count on from what they have heard
@@ -58,9 +71,8 @@
 
 def encode_peer_message(message: PeerMessage) -> bytes:
     """Encode a message as a datagram."""
-    return packb(
-        [FORMAT_VERSION, MESSAGE_NAMES[type(message)], *attrs.astuple(message)]
-    )
+    fields = FIELD_ENCODERS.get(type(message), attrs.astuple)(message)
+    return packb([FORMAT_VERSION, MESSAGE_NAMES[type(message)], *fields])
 
 
 def decode_peer_message(data: bytes) -> PeerMessage:
@@ -76,6 +88,10 @@
         ) from error
 
 
+MESSAGE_DECODERS.register("ask_copy")(decode_copy_query)
+MESSAGE_DECODERS.register("copy")(decode_copy_answer)
+
+
 @MESSAGE_DECODERS.register("load")
 def decode_load_report(fields: list[Any]) -> LoadReport:
     """Decode a load report."""
--- a/packages/geraniumhall-wire/tests/test_peers.py
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -5,11 +5,16 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
+from geraniumhall_core.catalogue import BackendServer
+from geraniumhall_core.copies import CopyAnswer, CopyProof, CopyQuery, HeldCopy
 from geraniumhall_core.loans import Loan, LoanRequest
 from geraniumhall_core.notices import Incarnation
+from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.parts import CrashId, PartCrash, PartHold, PartReport
 from geraniumhall_core.peers import PeerMessage
+from geraniumhall_core.platform import Feed
 from geraniumhall_core.prefixes import PartUse, PromptUse
+from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_core.restrictions import (
     Grant,
@@ -18,6 +23,7 @@
     ReportedLimit,
     RestrictionReport,
 )
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.summaries import WorkSummary
 from geraniumhall_wire.converter import InvalidDataError
 from geraniumhall_wire.peers import (
@@ -26,6 +32,15 @@
     encode_peer_message,
 )
 
+SERVER_KEY = ObjectKey("registered_server", "e1")
+SERVER = BackendServer(
+    address="10.0.0.9:80",
+    failure_domain="a",
+    service="draft",
+    started_at=7 << 40,
+    role=ServerRole.DECODE,
+    leaving=True,
+)
 WORK = (ServerWork("e1", 3, 900), ServerWork("e2", 1, 0))
 MESSAGES: tuple[PeerMessage, ...] = (
     LoadReport(host="h1", incarnation=7 << 40, sequence=5, work=WORK),
@@ -85,6 +100,32 @@
     ),
     Grant(host="h2", source=Incarnation("e1", 7), number=2),
     Grant(host="h2", source=None, number=2),
+    CopyQuery(
+        host="h1",
+        incarnation=7 << 40,
+        address="10.0.0.1:7",
+        number=3,
+        copies=(HeldCopy(Feed.SERVERS, Revision(1, 700)),),
+    ),
+    CopyAnswer(
+        host="h2",
+        incarnation=7 << 40,
+        number=3,
+        proofs=(
+            CopyProof(
+                feed=Feed.SERVERS,
+                revision=Revision(1, 702),
+                changed_at=Revision(1, 701),
+                age=0.25,
+                after=Revision(1, 699),
+                changes=(
+                    VersionedRecord(SERVER_KEY, Revision(1, 700), SERVER),
+                    VersionedRecord(SERVER_KEY, Revision(1, 701), DELETED),
+                ),
+            ),
+        ),
+    ),
+    CopyAnswer(host="h2", incarnation=1, number=1, proofs=()),
 )
 
 
