Act on exact reads of the lease only

Cause: a candidate may read the lease from an old copy. A write on what such an answer names conflicts, unless the store was rewound meanwhile and gave the same number out again; and an own lease in an old answer could count as renewed.

Change: an old answer only tells whether an exact read is worth its price. It renews nothing and leads to no write.

Ruled out: exact reads always, two calls a second of the candidates for nothing.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -13,6 +13,7 @@
     GetObject,
     ObjectFound,
     ObjectMissing,
+    PlatformAnswer,
     PutObject,
     Written,
 )
@@ -69,11 +70,7 @@
     if find_held_term(state, now) is not None:
         yield _write_lease(state, lease.term, now)
     elif _is_candidate(state, now) and now >= lease.cooldown_until:
-        lease.is_calling = True
-        # A write after an old answer conflicts, so a candidate may read one.
-        is_exact = not state.confirmation_plan.is_sparing
-        message = GetObject(LEASE_KEY, is_exact)
-        yield CallPlatform(purpose=MaintainLease(), message=message)
+        yield _read_lease(state, not state.confirmation_plan.is_sparing)
 
 
 def observe_lease(
@@ -126,7 +123,9 @@
     lease = state.lease
     lease.is_calling = False
     answer = event.answer
-    if isinstance(answer, Written) and purpose.written is not None:
+    if not purpose.is_exact:
+        yield from _evaluate_old_lease(state, answer, event.at)
+    elif isinstance(answer, Written) and purpose.written is not None:
         yield from _mark_held(state, answer.version, purpose.written)
     elif isinstance(answer, Conflict):
         yield from _mark_lost(state, event.at)
@@ -157,6 +156,30 @@
     return is_scaling or state.sealing.is_calling
 
 
+def _read_lease(state: DaemonState, is_exact: bool) -> CallPlatform:
+    state.lease.is_calling = True
+    message = GetObject(LEASE_KEY, is_exact)
+    return CallPlatform(purpose=MaintainLease(is_exact=is_exact), message=message)
+
+
+def _evaluate_old_lease(
+    state: DaemonState, answer: PlatformAnswer, now: float
+) -> Iterator[Effect]:
+    """Read the lease exactly if an answer that may be old shows it to be free.
+
+    An old answer renews nothing and never leads to a write by itself.
+    """
+    lease = state.lease
+    if isinstance(answer, ObjectFound):
+        if answer.object.version > lease.version or lease.record is None:
+            lease.observe(answer.object, now)
+        record = lease.record
+        if record is not None and _is_free(state, record, now):
+            yield _read_lease(state, is_exact=True)
+    elif isinstance(answer, ObjectMissing):
+        yield _read_lease(state, is_exact=True)
+
+
 def _evaluate_lease(state: DaemonState, now: float) -> Iterator[Effect]:
     lease = state.lease
     record = lease.record
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -39,9 +39,13 @@
 
 @attrs.frozen
 class MaintainLease(Purpose):
-    """Read the control lease, or write `written` as its new state."""
+    """Read the control lease, or write `written` as its new state.
+
+    Unless `is_exact`, what was read may be seconds old.
+    """
 
     written: Lease | None = None
+    is_exact: bool = True
 
 
 @attrs.frozen
--- a/packages/geraniumhall-core/tests/test_confirmations.py
+++ b/packages/geraniumhall-core/tests/test_confirmations.py
@@ -15,7 +15,13 @@
     reduce,
 )
 
-from geraniumhall_core.catalogue import CONFIGURATION_KEY, Configuration, Workspace
+from geraniumhall_core.catalogue import (
+    CONFIGURATION_KEY,
+    CatalogueEntry,
+    Configuration,
+    ServiceClass,
+    Workspace,
+)
 from geraniumhall_core.effects import CallPlatform
 from geraniumhall_core.events import Ticked
 from geraniumhall_core.handlers.confirmations import (
@@ -23,6 +29,7 @@
     compute_records_pause,
     compute_write_delay,
 )
+from geraniumhall_core.handlers.leases import find_held_term
 from geraniumhall_core.hosts import HostRecord
 from geraniumhall_core.leases import Lease
 from geraniumhall_core.platform import (
@@ -38,6 +45,7 @@
 from geraniumhall_core.policy import Policy
 from geraniumhall_core.purposes import FollowFeed, MaintainLease, PublishHost
 from geraniumhall_core.records import VersionedRecord
+from geraniumhall_core.reducer import Effect
 from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
@@ -219,25 +227,52 @@
 
 
 class LeaseTest(unittest.TestCase):
-    """A candidate for the lease may read an old one, but writes on its version."""
-
-    def test_candidate_reads_where_it_is_cheap(self) -> None:
-        """The read of a candidate is not exact, and the write names the version."""
-        state = build_sparing()
-        state.catalogue.entries["draft"] = None  # type: ignore[assignment]
+    """A candidate for the lease watches it in old answers, and acts on exact ones."""
+
+    def setUp(self) -> None:
+        """Let a candidate read the lease."""
+        self.state = build_sparing()
+        entry = CatalogueEntry(owner="a", service_class=ServiceClass.MODEL)
+        configuration = Configuration(version=2, entries={"draft": entry})
+        change = VersionedRecord(CONFIGURATION_KEY, Revision(number=101), configuration)
+        changes = Changes(Revision(number=101), (change,))
+        apply_feed_answer(self.state, Feed.CONFIGURATION, changes)
         event = Ticked(at=NOW, wall_time=NOW, draws=(0.5, 0.5))
-        calls = [e for e in reduce(state, event) if isinstance(e, CallPlatform)]
-        (read,) = [call for call in calls if isinstance(call.message, GetObject)]
-        self.assertFalse(read.message.is_exact)
-        old = VersionedRecord(
-            read.message.key,
-            Revision(number=7),
-            Lease(host="", incarnation=0, term=3, renewal=0),
+        calls = [e for e in reduce(self.state, event) if isinstance(e, CallPlatform)]
+        (self.read,) = [c for c in calls if isinstance(c.message, GetObject)]
+
+    def answer(self, call: CallPlatform, host: str) -> tuple[Effect, ...]:
+        """Answer a read of the lease that this host holds."""
+        lease = Lease(host=host, incarnation=5, term=3, renewal=0)
+        found = ObjectFound(
+            VersionedRecord(self.read.message.key, Revision(number=7), lease)
         )
-        effects = reduce(state, build_answer(read.purpose, ObjectFound(old), at=NOW))
-        write = find_effect(effects, CallPlatform).message
+        return reduce(self.state, build_answer(call.purpose, found, at=NOW))
+
+    def test_candidate_reads_where_it_is_cheap(self) -> None:
+        """The regular read may be old."""
+        self.assertFalse(self.read.message.is_exact)
+
+    def test_held_lease_leads_to_no_call(self) -> None:
+        """A lease that another host holds is read again at the next interval."""
+        self.assertEqual(self.answer(self.read, "h9"), ())
+
+    def test_old_answer_never_leads_to_a_write(self) -> None:
+        """A lease that seems free is read exactly, and only then written."""
+        exact = find_effect(self.answer(self.read, ""), CallPlatform)
+        self.assertEqual(exact.message, GetObject(self.read.message.key))
+        write = find_effect(self.answer(exact, ""), CallPlatform).message
         self.assertIsInstance(write, PutObject)
-        self.assertEqual(write.expected_version, Revision(number=7))
+
+    def test_old_answer_renews_nothing(self) -> None:
+        """An own lease in an old answer is no proof that it is held."""
+        lease = Lease(host="h1", incarnation=1, term=3, renewal=1)
+        self.state.lease.start_write(NOW)
+        found = ObjectFound(
+            VersionedRecord(self.read.message.key, Revision(number=7), lease)
+        )
+        reduce(self.state, build_answer(self.read.purpose, found, at=NOW))
+        self.assertIsNone(find_held_term(self.state, NOW))
 
 
 if __name__ == "__main__":
