Describe the confirmation policies, and date contact with the store by proofs

Cause: a follower calls the store seldom, so one call that failed looked like an outage of seconds, after which deletions of servers are deferred. A reader of an earlier era made its followers read the store.

Change: a proof counts as contact as of its date; only a newer revision of a reader leads to a read.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
@@ -197,11 +197,15 @@
         yield from apply_relayed(state, proof.feed, changes, now)
         is_current = True
     if not is_current:
-        state.relay.differing.add(proof.feed)
+        if proof.revision > held:
+            state.relay.differing.add(proof.feed)
         return
     state.relay.differing.discard(proof.feed)
     feed.revision = max(feed.revision, proof.revision)
     feed.confirmed_at = max(feed.confirmed_at, asked_at - proof.age)
+    # The store was up then, so registrations of servers could be renewed.
+    contact_at = max(state.platform_contact_at, asked_at - proof.age)
+    state.platform_contact_at = contact_at
 
 
 def _is_useful(state: DaemonState, proof: CopyProof) -> bool:
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -152,8 +152,9 @@
     silence. Servers can't renew them during an outage of the store, so a
     registration that expired in it is kept for `lapse_grace` after it, in which
     the server may renew it. A server that leaves must get no new requests later
-    than `drain_bound` after it said so. `confirmation` decides which hosts read the
-    store themselves.
+    than `drain_bound` after it said so. `confirmation` decides which calls to the store
+    are made: `store` confirms every copy on every host, `sparing` leaves out calls that
+    no promise needs, and with `relayed` a few hosts confirm the copies of the others.
     """
 
     revocation_bound: Seconds = Seconds(5.0)
