Find a reader that is served where the store refuses some hosts

Change: answers of readers without the store count as useless also while the follower's own reads fail; a host that does not reach the store is no reader for itself and asks others; a suspect that is asked again is left out after one useless answer; readers are chosen among the hosts that were live when the records were last read. Readers pause 0.5 s between reads of the servers, which were most of their calls.

Ruled out: asking the next reader at once after a useless answer, which would go through all hosts of a domain within seconds while the store is down.

--- a/packages/geraniumhall-bench/tests/test_followers.py
+++ b/packages/geraniumhall-bench/tests/test_followers.py
@@ -166,6 +166,22 @@
         self.cluster.block_link(first, PLATFORM_NAME)
         self.assertLessEqual(self.watch_ages(15.0, (first,)), READY_SECONDS)
 
+    def test_refused_hosts_find_one_that_is_served(self) -> None:
+        """A host that is refused with both readers stays ready by a third host."""
+        follower = next(
+            name
+            for name, daemon in self.cluster.daemons.items()
+            if daemon.state.policy.failure_domain == "a"
+            and name not in (*self.list_readers(), WRITER)
+        )
+        for name in (*self.list_readers(), follower):
+            self.cluster.block_link(name, PLATFORM_NAME)
+        self.cluster.run_for(6.0)
+        state = self.cluster.daemons[follower].state
+        for _ in range(60):
+            self.cluster.run_for(0.1)
+            self.assertTrue(state.is_ready(self.cluster.now))
+
     def test_lost_messages_leave_hosts_ready(self) -> None:
         """With a third of the messages lost, hosts read the store where they must."""
         self.cluster.peer_loss = 0.33
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
@@ -24,7 +24,7 @@
 OWN_READ_FRACTION = 0.8  # of the age at which a host becomes unready
 FOLLOWER_WAIT_SECONDS = 0.05
 FOLLOWER_RETRY_SECONDS = 1.0
-READER_PAUSE_SECONDS = 0.3  # between reads of servers, which change together
+READER_PAUSE_SECONDS = 0.5  # between reads of servers, which change together
 
 
 def reads_stale(state: DaemonState, feed: Feed, now: float) -> bool:
@@ -77,17 +77,21 @@
 def list_readers(state: DaemonState, now: float) -> tuple[str, ...]:
     """Return the readers of this host's failure domain, best first.
 
-    Rendezvous hashing picks them among the live hosts that receive messages. Those
-    that gave this host no useful answers are left out for a time.
+    Rendezvous hashing picks them among the hosts that receive messages and were live
+    when this host last read the records. Those
+    that gave this host no useful answers are left out for a time, and so is this host
+    while it does not reach the store.
     """
     domain = state.policy.failure_domain
     names = [
         name
-        for name, known in state.list_live_hosts(now).items()
+        for name, known in state.list_claimants(now).items()
         if known.record.failure_domain == domain and known.record.peer_address
+        if not known.record.is_leaving
         if now >= state.relay.suspects.get(name, float("-inf"))
     ]
-    if not state.is_draining:
+    is_failing = bool(state.feeds[Feed.CONFIGURATION].failures)
+    if not state.is_draining and not is_failing:
         names.append(state.policy.host)
     seed = xxh64_intdigest(domain)
     ranked = sorted(names, key=lambda name: xxh64_intdigest(name, seed=seed))
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
@@ -84,7 +84,7 @@
     if any(_is_useful(state, proof) for proof in message.proofs):
         relay.missed.pop(message.host, None)
         state.counters["copies.confirmed"] += 1
-    elif not state.feeds[Feed.CONFIGURATION].failures:
+    else:
         _suspect(state, message.host, event.at)
 
 
@@ -104,9 +104,14 @@
 
 
 def _ask_reader(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Ask the next reader, also as a reader that does not reach the store itself."""
     relay = state.relay
     readers = relay.readers
-    if now < relay.ask_at or not readers or is_reader(state, now):
+    is_failing = bool(state.feeds[Feed.CONFIGURATION].failures)
+    readers = tuple(name for name in readers if name != state.policy.host)
+    if now < relay.ask_at or not readers:
+        return
+    if is_reader(state, now) and not is_failing:
         return
     relay.ask_at = now + ASK_SECONDS
     relay.number += 1
@@ -142,11 +147,15 @@
 
 
 def _suspect(state: DaemonState, host: str, now: float) -> None:
+    """Count a useless question; leave a host out after some of them.
+
+    Once it is asked again, one more is enough, until it gives a useful answer.
+    """
     relay = state.relay
     state.counters["copies.missed"] += 1
     relay.missed[host] = relay.missed.get(host, 0) + 1
     if relay.missed[host] >= MAX_MISSED:
-        del relay.missed[host]
+        relay.missed[host] = MAX_MISSED - 1
         relay.suspects[host] = now + SUSPECT_SECONDS
         relay.choose_at = now
 
