--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -7,11 +7,14 @@
 
 from geraniumhall_core.catalogue import BackendServer, EngineProfile
 from geraniumhall_core.handlers.access import is_open, is_place_for
+from geraniumhall_core.handlers.speeds import find_speed, find_usual_speed
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.planning import (
+    MIXED_PREFILL_RATE_FACTOR,
     PLANNING_POLICIES,
     EngineView,
     PlanQuery,
+    StreamPace,
     choose_decode_engine,
 )
 from geraniumhall_core.prefixes import PartUse, PromptUse
@@ -25,12 +28,20 @@
     """The backend server that a request is sent to next.
 
     With `is_prefill_only` the server only runs prefill. `prefill_tokens` is the
-    expected prefill work there. The first event is expected after
-    `expected_seconds`, which is zero if no estimate was made.
+    expected prefill work there, and `pending_prefill` that work with all that is
+    queued before it, as tokens of an engine that only runs prefill. The first event is
+    expected after `expected_seconds`, which is zero if no estimate was made. With
+    `fetches_from` the server first fetches what that one keeps of the prompt.
+    `kept_tokens` of the prompt are expected to be held there or fetched, and
+    `copy_seconds` is what another copy of the shared parts was priced at.
     """
 
     server: str
     prefill_tokens: int = 0
+    pending_prefill: float = 0.0
+    fetches_from: str = ""
+    kept_tokens: float = 0.0
+    copy_seconds: float = 0.0
     expected_seconds: float = 0.0
     is_prefill_only: bool = False
 
@@ -45,7 +56,7 @@
     engine = state.catalogue.find_service(record.service).engine
     if engine is None or not record.request.parts:
         return _place_by_routing(state, record, names, draws)
-    return _place_by_planning(state, record, engine, names, draws[1])
+    return _place_by_planning(state, record, engine, names, now, draws[1])
 
 
 def place_decode(
@@ -54,10 +65,16 @@
     """Return the server that decodes after a prefill, or None if there is none."""
     assert record.kv_cache is not None
     names = _list_usable(state, record, now)
-    views = [_build_engine_view(state, name, ()) for name in names]
+    views = [_build_engine_view(state, name, (), now) for name in names]
     prefill_server = state.catalogue.servers.get(record.kv_cache.server)
     is_local = prefill_server is not None and _is_local(state, prefill_server)
-    chosen = choose_decode_engine(views, is_local, record.request.memory_tokens, draw)
+    chosen = choose_decode_engine(
+        views,
+        is_local,
+        record.request.memory_tokens,
+        draw,
+        _build_pace(state, record, now),
+    )
     return Placement(server=chosen.name) if chosen else None
 
 
@@ -121,41 +138,76 @@
     record: RequestRecord,
     engine: EngineProfile,
     names: list[str],
+    now: float,
     draw: float,
 ) -> Placement | None:
     request = record.request
     shared = sum(part.tokens for part in request.parts[:-1])
+    uses = _list_part_uses(request)
+    views = [_build_engine_view(state, name, uses, now) for name in names]
+    usual = find_usual_speed(state, record.service, now)
     query = PlanQuery(
         prompt_tokens=request.prompt_tokens,
         shared_prefix_tokens=min(shared, request.prompt_tokens),
         shared_prefix_hash=_hash_shared_prefix(request),
-        prefill_rate=state.policy.engine_read_rate,
+        prefill_rate=state.policy.engine_read_rate * usual.prefill,
         kv_transfer_rate=engine.link_rate / engine.token_bytes,
         memory_tokens=request.memory_tokens,
+        pace=_build_pace(state, record, now),
         draw=draw,
+        shared_use_rate=state.prefix_caches.compute_use_rate(uses, now),
+        objective=_compute_objective_left(state, record, now),
     )
-    uses = _list_part_uses(request)
-    views = [_build_engine_view(state, name, uses) for name in names]
     plan = PLANNING_POLICIES.find(state.policy.planning)(views, query)
     if plan is None:
         return None
     return Placement(
         server=plan.server,
         prefill_tokens=plan.prefill_tokens,
+        pending_prefill=plan.pending_prefill,
+        fetches_from=plan.fetches_from,
+        kept_tokens=plan.kept_tokens,
+        copy_seconds=plan.copy_seconds,
         expected_seconds=plan.expected_seconds,
         is_prefill_only=plan.is_prefill_only,
     )
 
 
-def record_prompt_use(state: DaemonState, record: RequestRecord, server: str) -> None:
+def _compute_objective_left(
+    state: DaemonState, record: RequestRecord, now: float
+) -> float | None:
+    """Return the seconds left of the entry's objective, None without one."""
+    entry = state.catalogue.entries.get(record.entry)
+    if entry is None or entry.objectives.first_answer is None:
+        return None
+    return max(0.0, record.arrived_at + entry.objectives.first_answer - now)
+
+
+def record_prompt_use(
+    state: DaemonState, record: RequestRecord, placement: Placement, now: float
+) -> None:
     """Record that an engine gets a request's prompt, to be reported to other hosts."""
     if record.request.parts:
-        use = PromptUse(server, _list_part_uses(record.request))
-        if add_prompt_use(state, use) and state.policy.peer_address:
+        _count_placement(state, placement)
+        use = PromptUse(placement.server, _list_part_uses(record.request))
+        if add_prompt_use(state, use, now) and state.policy.peer_address:
             state.prefix_caches.unreported.append(use)
 
 
-def add_prompt_use(state: DaemonState, use: PromptUse) -> bool:
+def _count_placement(state: DaemonState, placement: Placement) -> None:
+    """Count a prompt that an engine is to prefill, by what is kept of it."""
+    if not placement.expected_seconds:
+        return
+    state.counters["prompts.placed"] += 1
+    if placement.fetches_from:
+        state.counters["prompts.fetched"] += 1
+    elif placement.copy_seconds:
+        state.counters["prompts.copied"] += 1
+    elif placement.kept_tokens:
+        state.counters["prompts.kept"] += 1
+
+
+def add_prompt_use(state: DaemonState, use: PromptUse, now: float = 0.0) -> bool:
     """Add a use to the inferred caches; return False for a server without one."""
     server = state.catalogue.servers.get(use.server)
     if server is None:
@@ -163,12 +215,14 @@
     engine = state.catalogue.find_service(server.service).engine
     if engine is None:
         return False
-    state.prefix_caches.add_use(use, server.started_at, engine.memory_tokens)
+    capacity = engine.memory_tokens
+    state.prefix_caches.add_use(use, server.started_at, capacity, now)
     return True
 
 
-def forget_removed_engines(state: DaemonState) -> None:
-    """Drop the inferred caches of servers that are gone."""
+def forget_removed_engines(state: DaemonState, now: float) -> None:
+    """Drop the inferred caches of servers that are gone, and counts of unused parts."""
+    state.prefix_caches.forget_unused(now)
     engines = state.prefix_caches.engines
     for name in engines.keys() - state.catalogue.servers.keys():
         del engines[name]
@@ -194,13 +248,14 @@
 
 
 def _build_engine_view(
-    state: DaemonState, name: str, uses: Sequence[PartUse]
+    state: DaemonState, name: str, uses: Sequence[PartUse], now: float
 ) -> EngineView:
     server = state.catalogue.servers[name]
     caches = state.prefix_caches
     engine = state.catalogue.find_service(server.service).engine
     load = state.get_load(name)
     foreign = state.estimate_foreign_work(name)
+    running_tokens = load.memory_tokens + foreign.memory_tokens
     return EngineView(
         name=name,
         role=server.role,
@@ -209,8 +264,21 @@
         requests=load.outstanding + foreign.requests,
         slots=server.slots,
         cached_tokens=caches.count_cached(name, server.started_at, uses),
-        memory_tokens=load.memory_tokens + foreign.memory_tokens,
+        memory_tokens=running_tokens,
         memory_capacity=engine.memory_tokens if engine else 0,
+        kept_tokens=caches.estimate_kept(name, server.started_at, uses, running_tokens),
+        speed=find_speed(state, name, now),
+    )
+
+
+def _build_pace(state: DaemonState, record: RequestRecord, now: float) -> StreamPace:
+    """Return the usual time between two events and the entry's objective for it."""
+    usual = find_usual_speed(state, record.service, now)
+    entry = state.catalogue.entries.get(record.entry)
+    gap = entry.objectives.gap if entry else None
+    rate = state.policy.engine_read_rate * usual.prefill * MIXED_PREFILL_RATE_FACTOR
+    return StreamPace(
+        event_seconds=usual.event_seconds, gap_objective=gap, mixed_prefill_rate=rate
     )
 
 
