--- a/packages/geraniumhall-bench/tests/copies.py
+++ b/packages/geraniumhall-bench/tests/copies.py
@@ -15,7 +15,6 @@
 from geraniumhall_core.platform import ReportUsage
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.requests import CallerRequest, ModelTarget
-from geraniumhall_core.revisions import Revision
 
 WINDOW_SECONDS = 5.0
 USAGE_BOUND_SECONDS = 10.0  # after the end of a window
@@ -41,8 +40,7 @@
 
 def write(cluster: SimulatedCluster, key: ObjectKey, record: Any) -> None:
     """Write an object of the operators or of a server, and tell the watches."""
-    number = cluster.platform.revision.number + 1
-    cluster.platform.revision = Revision(number=number)
+    cluster.platform.revision = cluster.platform.revision.advance()
     item = VersionedRecord(key, cluster.platform.revision, record)
     cluster.platform.objects[key] = item
     cluster.platform.history.append(item)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/copies.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/copies.py
@@ -90,8 +90,8 @@
 
 def _decode_change(kind: Any, name: Any, version: Any, data: Any) -> VersionedRecord:
     record = DELETED if data is None else decode_record(str(kind), data)
-    revision = _decode_revision(version)
-    return VersionedRecord(ObjectKey(str(kind), str(name)), revision, record)
+    key = ObjectKey(str(kind), str(name))
+    return VersionedRecord(key, _decode_revision(version), record)
 
 
 def _encode_revision(revision: Revision) -> list[int]:
