Bound the memory and connections that callers can take

Cause: each connection joined a body of up to max_body in memory, for as many connections as came; answers were buffered whole up to 1 MiB and copied to be sent; a full listener accepted nobody until an idle timeout; nothing demanded progress of a body but the 30 s for the whole request, and 11,000 chunks of a byte were parsed in a row.

Change: what is held for connections (parser, bytes read ahead, head, body, buffered answer) counts toward one budget, a quarter of the host's memory, which the platform's template states. With room everybody is granted at once. Without it a registered policy decides on the holdings alone: stalled incomplete requests yield first, then by size, speed and age, then unread answers, then idle connections; whole requests never. Large requests leave a quarter to ordinary ones, which wait rather than be refused. A request that yields is answered 503 as not run. At the limit of connections (also bounded by half of the descriptors) a stalled or idle connection yields to a new one; connections of one address can be bounded (off, since a balancer may forward all). A body must make progress in bytes; bodies of tiny chunks share one rate of parsing. An answer that there is no memory for is passed on unbuffered, and idle connections to servers are closed. A caller that reads nothing for the silence timeout is what ended the attempt, not the server, and nothing follows on a connection on which a response was cut off.

Ruled out: reserving the announced length (an announcement costs a caller nothing); refusing tiny chunks (callers inside the limits may send them); a lower number of connections alone (60 bodies of 4 MiB are over 160 MB).

--- a/packages/geraniumhall-core/src/geraniumhall_core/refusals.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/refusals.py
@@ -49,6 +49,9 @@
 )
 RATE_EXCEEDED = Refusal("rate_exceeded", "the workspace is over its rate")
 OVERLOADED = Refusal("overloaded", "the queue for this entry is full")
+MEMORY_SHORT = Refusal(
+    "memory_short", "the host has no memory left for the request", retry_after=1.0
+)
 DEADLINE_EXCEEDED = Refusal("deadline_exceeded", "the deadline passed")
 DRAINING = Refusal("draining", "the host is being drained")
 NO_SERVER = Refusal("no_backend_server", "no backend server can take the request")
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/callers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/callers.py
@@ -10,7 +10,7 @@
 from geraniumhall_core.refusals import Refusal
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_daemon.exchanges import EXCHANGE_PERFORMERS, Exchange
-from geraniumhall_daemon.serving import send_refusal, serve_connection
+from geraniumhall_daemon.serving import CALLERS, send_refusal, serve_connection
 from geraniumhall_net.server import ReceivedRequest, ServerConnection, ServerLimits
 
 
@@ -20,14 +20,14 @@
     def read_limits() -> ServerLimits:
         return choose_limits(daemon)
 
-    await serve_connection(daemon, stream, read_limits, serve_call)
+    await serve_connection(daemon, stream, read_limits, serve_call, CALLERS)
 
 
 def choose_limits(daemon: Daemon) -> ServerLimits:
     """Return the limits of the operators' configuration, or of the settings.
 
-    The settings apply if the configuration has none. The time for a whole request
-    always comes from the settings.
+    The settings apply if the configuration has none. The time for a whole request and
+    the progress of its body always come from the settings.
     """
     configuration = daemon.state.catalogue.configuration
     bounds = configuration.bounds if configuration else None
@@ -38,6 +38,8 @@
             max_body=settings.max_body,
             read_timeout=settings.read_timeout,
             idle_timeout=settings.idle_timeout,
+            min_progress=settings.min_progress,
+            progress_window=settings.progress_window,
         )
     return ServerLimits(
         max_head=bounds.max_head,
@@ -45,6 +47,8 @@
         head_timeout=bounds.head_timeout,
         read_timeout=daemon.settings.callers.read_timeout,
         idle_timeout=bounds.idle_timeout,
+        min_progress=daemon.settings.callers.min_progress,
+        progress_window=daemon.settings.callers.progress_window,
     )
 
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -13,10 +13,12 @@
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.reducer import Effect, Event
 from geraniumhall_core.state import DaemonState
+from geraniumhall_daemon.budgets import build_budget
 from geraniumhall_daemon.clock import SystemClock
 from geraniumhall_daemon.exchanges import Exchange
 from geraniumhall_daemon.expiries import Expiries
 from geraniumhall_daemon.metrics import MetricsSink
+from geraniumhall_net.budget import MemoryBudget, ParsingPace
 from geraniumhall_net.client import ClientPool, Connector, connect_tcp
 from geraniumhall_net.drivers import PLATFORM_DRIVERS, PlatformDriver
 from geraniumhall_net.listener import Listener
@@ -87,6 +89,8 @@
     metrics: MetricsSink
     front: Front
     recorder: Recorder
+    budget: MemoryBudget = attrs.field(factory=MemoryBudget)
+    pace: ParsingPace = attrs.field(factory=ParsingPace)
     exchanges: dict[str, Exchange] = attrs.field(factory=dict)
     expiries: Expiries = attrs.field(factory=Expiries)
     admin_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
@@ -112,11 +116,14 @@
         random = random or Random()
         clock = clock or SystemClock()
         policy = settings.build_policy(_generate_incarnation(clock, random))
+        metrics = MetricsSink.from_settings(settings.metrics)
+        budget = build_budget(settings.callers, settings.host, metrics)
         pool = ClientPool(
             connector=connector,
             connect_timeout=settings.upstream.connect_timeout,
             idle_timeout=settings.upstream.idle_timeout,
             max_idle=settings.upstream.max_idle,
+            is_short=lambda: budget.is_short,
         )
         return cls(
             settings=settings,
@@ -127,8 +134,10 @@
             platform=_build_driver(settings, connector),
             front=FRONTS.find(settings.callers.front)(),
             pool=pool,
-            metrics=MetricsSink.from_settings(settings.metrics),
+            metrics=metrics,
             recorder=recorder or RecentHistory(),
+            budget=budget,
+            pace=ParsingPace(settings.callers.max_chunk_rate),
         )
 
     def change_settings(self, settings: Settings) -> None:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
@@ -70,5 +70,5 @@
         return True
     page = STATUS_PAGES.find(path)(daemon)
     close = daemon.state.is_draining
-    await connection.send_response(page.status, TEXT_HEADERS, page.body, close)
+    await connection.send_response(page.status, TEXT_HEADERS, page.body, close=close)
     return True
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -12,12 +12,14 @@
 from geraniumhall_core.reducer import Event
 from geraniumhall_daemon import memory, orders, performers, probes, relays
 from geraniumhall_daemon.admin import serve_operator
+from geraniumhall_daemon.budgets import count_caller_connections
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_daemon.health import serve_status
 from geraniumhall_daemon.logs import configure_logs, write_log
 from geraniumhall_daemon.peers import open_peers_socket, receive_messages
 from geraniumhall_daemon.reloads import SettingsFile
+from geraniumhall_daemon.serving import CALLERS
 from geraniumhall_net.listener import Listener
 from geraniumhall_platform import ObjectsDriver, RoutedFront
 from geraniumhall_wire.openai_front import OpenAiFront
@@ -103,7 +105,11 @@
     status.pop("", None)
     listeners = {
         "callers": await Listener.from_address(
-            callers.listen, partial(serve_caller, daemon), callers.max_connections
+            callers.listen,
+            partial(serve_caller, daemon),
+            count_caller_connections(callers, settings.host),
+            partial(daemon.budget.close_one, CALLERS),
+            callers.max_per_address,
         ),
         "admin": await Listener.from_address(
             settings.admin.listen,
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/metrics.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/metrics.py
@@ -1,5 +1,7 @@
 """Metrics in the Prometheus text format, and optionally sent to statsd."""
 
+from collections.abc import Callable
+
 import attrs
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
@@ -62,6 +64,17 @@
         """Record the duration of an exchange, in seconds."""
         self._latency.observe(seconds)
 
+    def count(self, name: str) -> None:
+        """Add one to a counter of the daemon itself, under its dotted name."""
+        self._find_counter(name).inc()
+
+    def observe_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Export what `read` returns as a gauge."""
+        gauge = Gauge(
+            name, f"Current {name}.", namespace=NAMESPACE, registry=self.registry
+        )
+        gauge.set_function(read)
+
     def encode(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -3,6 +3,7 @@
 import attrs
 import trio
 
+from geraniumhall_core.buffers import HoldingKind
 from geraniumhall_core.effects import (
     AbortResponse,
     CloseExchange,
@@ -34,6 +35,7 @@
 from geraniumhall_wire.scanners import Scanner, ScanResult
 
 MAX_BUFFERED_BYTES = 1 << 20  # of a response, read before any is forwarded
+SENT_BYTES = 16384  # sent to a caller at once, each within the silence timeout
 DEADLINE_UPDATE_SECONDS = 0.25  # between updates of a scope's deadline
 RELEASE_TIMEOUT_SECONDS = 1.0
 EVENT_STREAM = b"text/event-stream"
@@ -65,6 +67,8 @@
     `last_chunk_at` are on trio's clock; `longest_pause` is the longest time
     between two chunks. All are in seconds. `notice` is what the server stated of
     itself, until an event has taken it. `end_reason` tells why an attempt timed out.
+    While it `is_sending`, the caller and not the server is waited for. `buffered` are
+    the bytes of the answer that count toward the memory held for callers.
     """
 
     daemon: Daemon
@@ -81,6 +85,8 @@
     longest_pause: float = 0.0
     notice: ReceivedNotice | None = None
     end_reason: str = "the deadline was exceeded"
+    is_sending: bool = False
+    buffered: int = 0
 
     def end(self, reason: str) -> None:
         """End the attempt as if its deadline had passed."""
@@ -108,6 +114,7 @@
             return self._build_failure(AttemptOutcome.CALLER_LEFT, str(error))
         finally:
             self.exchange.end_attempt = None
+            self._free_buffered(self.buffered)
             await self._return_connection()
         if self.exchange.connection.is_disconnected:
             return self._build_failure(
@@ -115,6 +122,11 @@
             )
         if trio.current_time() >= self.deadline:
             return self._build_failure(AttemptOutcome.TIMED_OUT, self.end_reason)
+        if self.is_sending:
+            return self._build_failure(
+                AttemptOutcome.CALLER_LEFT,
+                "the caller read nothing within the silence timeout",
+            )
         return self._build_failure(
             AttemptOutcome.BROKEN,
             "the backend server sent nothing within the silence timeout",
@@ -187,7 +199,7 @@
         return AttemptResult(outcome, verdict, reason=reason)
 
     async def _read_prefill_result(self) -> AttemptResult:
-        body = await self._read_buffered()
+        body = b"".join(await self._read_buffered())
         try:
             kv_cache = self.daemon.front.decode_kv_cache_ref(self.effect, body)
         except InvalidDataError as error:
@@ -200,33 +212,59 @@
         content_type = head.find(b"content-type") or b""
         if content_type.startswith(EVENT_STREAM):
             self.exchange.is_event_stream = True
-            first = await self._read_chunk()
+            chunk = await self._read_chunk()
+            first = [] if chunk is None else [chunk]
         else:
             first = await self._read_buffered()
         await self._forward_response(head, first)
         return self._build_result()
 
-    async def _forward_response(self, head: ResponseHead, first: bytes | None) -> None:
+    async def _forward_response(self, head: ResponseHead, first: list[bytes]) -> None:
         connection = self.exchange.connection
         headers = head.select_end_to_end()
         if self.is_complete and not self._scan().is_complete:
             raise ExchangeFailedError("the stream ended before its first event")
+        connection.share.enter(HoldingKind.ANSWER)
         if self.is_complete:
+            self.is_sending = True
             await connection.send_response(
-                head.status, headers, first or b"", self.exchange.must_close
+                head.status, headers, *first, close=self.exchange.must_close
             )
+            self.is_sending = False
             return
         self._dispatch_started()
-        await connection.start_response(
-            head.status, headers, first or b"", self.exchange.must_close
-        )
+        await self._start_response(head, first)
         self.last_chunk_at = trio.current_time()
         while (chunk := await self._read_chunk()) is not None:
             self._record_pause()
-            await connection.send_chunk(chunk)
+            await self._send_chunk(chunk)
         if self._scan().is_complete:
             await connection.finish_response()
 
+    async def _start_response(self, head: ResponseHead, first: list[bytes]) -> None:
+        """Send the head with the first piece, then the others; empty `first`."""
+        first.reverse()
+        piece = first.pop() if first else b""
+        self.is_sending = True
+        await self.exchange.connection.start_response(
+            head.status, head.select_end_to_end(), piece, close=self.exchange.must_close
+        )
+        self.is_sending = False
+        self._free_buffered(len(piece))
+        while first:
+            piece = first.pop()
+            await self._send_chunk(piece)
+            self._free_buffered(len(piece))
+
+    async def _send_chunk(self, chunk: bytes) -> None:
+        """Send a chunk; a caller that takes parts of it within the timeout is kept."""
+        self.is_sending = True
+        for start in range(0, len(chunk), SENT_BYTES):
+            part = chunk if len(chunk) <= SENT_BYTES else chunk[start:][:SENT_BYTES]
+            await self.exchange.connection.send_chunk(part)
+            self._extend_deadline()
+        self.is_sending = False
+
     async def _read_chunk(self) -> bytes | None:
         assert self.upstream is not None
         assert self.scanner is not None
@@ -240,17 +278,31 @@
             self.scanner.feed(chunk)
         return chunk
 
-    async def _read_buffered(self) -> bytes:
-        """Return the body, or the start of one longer than `MAX_BUFFERED_BYTES`."""
+    async def _read_buffered(self) -> list[bytes]:
+        """Return the pieces of the body, or of the start of a long one.
+
+        The start ends beyond `MAX_BUFFERED_BYTES`, or where the memory for answers
+        does.
+        """
         pieces: list[bytes] = []
         size = 0
+        share = self.exchange.connection.share
         while size <= MAX_BUFFERED_BYTES:
             chunk = await self._read_chunk()
             if chunk is None:
                 break
             pieces.append(chunk)
             size += len(chunk)
-        return b"".join(pieces)
+            if not share.try_grow(len(chunk)):
+                await self.daemon.pool.close_idle()
+                break
+            self.buffered += len(chunk)
+        return pieces
+
+    def _free_buffered(self, size: int) -> None:
+        freed = min(size, self.buffered)
+        self.buffered -= freed
+        self.exchange.connection.share.add(-freed)
 
     def _build_result(self) -> AttemptResult:
         scan = self._scan()
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
@@ -8,6 +8,7 @@
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_net.server import (
     ClientDisconnectedError,
+    ConnectionResources,
     LimitsSource,
     ReceivedRequest,
     ServerConnection,
@@ -15,6 +16,8 @@
 )
 from geraniumhall_wire.heads import Header
 
+CALLERS = "callers"  # groups of connections, by who connects
+OPERATORS = "operators"
 JSON_HEADERS: tuple[Header, ...] = ((b"content-type", b"application/json"),)
 
 RequestHandler = Callable[[Daemon, ServerConnection, ReceivedRequest], Awaitable[bool]]
@@ -25,13 +28,15 @@
     stream: trio.abc.Stream,
     limits: LimitsSource,
     handler: RequestHandler,
+    group: str = OPERATORS,
 ) -> None:
     """Serve a connection until it closes.
 
     The handler answers one request and returns whether the connection can
-    serve another.
+    serve another. `group` names who connects.
     """
-    async with open_server_connection(stream, limits) as connection:
+    resources = ConnectionResources(daemon.budget, daemon.pace, group)
+    async with open_server_connection(stream, limits, resources) as connection:
         try:
             while await _serve_request(daemon, connection, handler):
                 pass
@@ -44,7 +49,9 @@
 ) -> None:
     """Send a refusal, encoded by the daemon's front."""
     encoded = daemon.front.encode_refusal(refusal)
-    await connection.send_response(encoded.status, encoded.headers, encoded.body, close)
+    await connection.send_response(
+        encoded.status, encoded.headers, encoded.body, close=close
+    )
 
 
 async def _serve_request(
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -17,6 +17,7 @@
 import trio
 
 from geraniumhall_net.liveness import enable_tcp_keepalive
+from geraniumhall_net.pieces import join_small
 from geraniumhall_wire.heads import ResponseHead, UpstreamRequest
 from geraniumhall_wire.settings import split_address
 
@@ -127,7 +128,8 @@
             parts = [self._http.send(head)]
             parts.append(self._http.send(h11.Data(data=request.body)))
             parts.append(self._http.send(h11.EndOfMessage()))
-            await self._stream.send_all(b"".join(part or b"" for part in parts))
+            for data in join_small(part or b"" for part in parts):
+                await self._stream.send_all(data)
         except h11.LocalProtocolError as error:
             raise ExchangeFailedError(f"the request can't be sent: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -240,12 +242,16 @@
 
 @attrs.define(eq=False)
 class ClientPool:
-    """Pool of connections by address; times are in seconds."""
+    """Pool of connections by address; times are in seconds.
+
+    No connection is kept idle while the process `is_short` of memory.
+    """
 
     connector: Connector = connect_tcp
     connect_timeout: float = 1.0
     idle_timeout: float = 4.0
     max_idle: int = 64
+    is_short: Callable[[], bool] = lambda: False
     _idle: dict[str, list[ClientConnection]] = attrs.field(factory=dict, init=False)
     _open: Counter[str] = attrs.field(factory=Counter, init=False)
     _next_expiry_check: float = attrs.field(default=float("-inf"), init=False)
@@ -278,7 +284,7 @@
     async def release(self, address: str, connection: ClientConnection) -> None:
         """Keep a connection whose exchange is complete, if it can be reused."""
         idle = self._idle.setdefault(address, [])
-        is_kept = len(idle) < self.max_idle
+        is_kept = len(idle) < self.max_idle and not self.is_short()
         is_kept = is_kept and len(connection.refused) < MAX_REFUSED
         if not is_kept or not connection.start_next_cycle():
             await self.discard(address, connection)
--- a/packages/geraniumhall-net/src/geraniumhall_net/listener.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/listener.py
@@ -1,6 +1,7 @@
 """TCP listeners with a limit on open connections."""
 
 import select
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -19,23 +20,34 @@
 class Listener:
     """Accepts connections up to a limit; more wait in the kernel's backlog.
 
-    An exception from a connection's handler is logged and ends only that
-    connection.
+    At the limit `make_room` is called for each connection that waits, so that it may
+    close another. Of one peer address at most `max_per_address` are open, or any number
+    if that is zero. An exception from a connection's handler is logged and ends only
+    that connection.
     """
 
     _listeners: list[trio.SocketListener]
     _handler: ConnectionHandler
     _connection_limiter: trio.CapacityLimiter
+    _make_room: Callable[[], None]
+    _max_per_address: int
+    _open_by_address: Counter[str] = attrs.field(factory=Counter, init=False)
     _accept_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope, init=False)
 
     @classmethod
     async def from_address(
-        cls, address: str, handler: ConnectionHandler, max_connections: int
+        cls,
+        address: str,
+        handler: ConnectionHandler,
+        max_connections: int,
+        make_room: Callable[[], None] = lambda: None,
+        max_per_address: int = 0,
     ) -> "Listener":
         """Bind a listener to `address`; raises `OSError`."""
         host, port = split_address(address)
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
-        return cls(listeners, handler, trio.CapacityLimiter(max_connections))
+        limiter = trio.CapacityLimiter(max_connections)
+        return cls(listeners, handler, limiter, make_room, max_per_address)
 
     @property
     def address(self) -> str:
@@ -68,6 +80,9 @@
 
     async def _accept_one(self, nursery: trio.Nursery) -> None:
         token = object()
+        if self._connection_limiter.available_tokens < 1:
+            await trio.lowlevel.wait_readable(self._listeners[0].socket)
+            self._make_room()
         await self._connection_limiter.acquire_on_behalf_of(token)
         try:
             stream = await self._listeners[0].accept()
@@ -81,10 +96,35 @@
         nursery.start_soon(self._handle, stream, token)
 
     async def _handle(self, stream: trio.SocketStream, token: object) -> None:
+        peer = ""
         try:
+            peer = _find_peer(stream)
+            self._open_by_address[peer] += 1
             enable_tcp_keepalive(stream.socket)
-            await self._handler(stream)
+            if self._has_place(peer):
+                await self._handler(stream)
+            else:
+                logger.bind(peer=peer).warning("connection_over_address_limit")
+                await trio.aclose_forcefully(stream)
         except Exception:
             logger.exception("connection_handler_failed")
         finally:
+            self._count_closed(peer)
             self._connection_limiter.release_on_behalf_of(token)
+
+    def _has_place(self, peer: str) -> bool:
+        limit = self._max_per_address
+        return not limit or self._open_by_address[peer] <= limit
+
+    def _count_closed(self, peer: str) -> None:
+        self._open_by_address[peer] -= 1
+        if self._open_by_address[peer] <= 0:
+            del self._open_by_address[peer]
+
+
+def _find_peer(stream: trio.SocketStream) -> str:
+    """Return the address of the peer, empty if it has left already."""
+    try:
+        return stream.socket.getpeername()[0]
+    except OSError:
+        return ""
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -17,19 +17,24 @@
 import h11
 import trio
 
+from geraniumhall_core.buffers import HoldingKind
 from geraniumhall_core.refusals import (
     BODY_TOO_LARGE,
     HEAD_TOO_LARGE,
     MALFORMED,
+    MEMORY_SHORT,
     REQUEST_TIMEOUT,
     Refusal,
 )
+from geraniumhall_net.budget import MemoryBudget, MemoryShare, ParsingPace
+from geraniumhall_net.pieces import join_small
 from geraniumhall_wire.heads import Header, RequestHead
 
 RECEIVE_BYTES = 65536  # at most, in one read
 STATUS_HEAD_TOO_LARGE = 431
 # The pump may be in its own checkpoint, then reads once.
 PUMP_CHECKPOINTS = 3
+PACED_CHUNKS = 256  # of a body, parsed without letting other connections run
 
 
 class ClientDisconnectedError(ConnectionError):
@@ -41,7 +46,8 @@
     """Limits of a server connection; sizes in bytes, times in seconds.
 
     A request must arrive within `read_timeout` of its first bytes, and its head
-    within `head_timeout` of them. A connection without a request ends after
+    within `head_timeout` of them. While its body is incomplete, `min_progress` bytes of
+    it must arrive in every `progress_window`. A connection without a request ends after
     `idle_timeout`.
     """
 
@@ -50,6 +56,8 @@
     head_timeout: float = 30.0
     read_timeout: float = 30.0
     idle_timeout: float = 60.0
+    min_progress: int = 1024
+    progress_window: float = 10.0
 
 
 LimitsSource = Callable[[], ServerLimits]  # the class itself gives the defaults
@@ -72,22 +80,52 @@
     read_at: float
 
 
+@attrs.frozen
+class ConnectionResources:
+    """What the connections of a process share: memory, and the pace of parsing.
+
+    `group` names the listener, within which one connection yields to another.
+    """
+
+    budget: MemoryBudget = attrs.field(factory=MemoryBudget)
+    pace: ParsingPace = attrs.field(factory=ParsingPace)
+    group: str = ""
+
+
 @attrs.define(eq=False)
 class ServerConnection:
-    """A connection from a client, which serves one request at a time."""
+    """A connection from a client, which serves one request at a time.
+
+    `share` is what it holds of the process's memory. A connection on which a response
+    was cut off is broken: nothing may follow on it.
+    """
 
     _stream: trio.abc.Stream
     _read_limits: LimitsSource
     _http: h11.Connection
     _sender: trio.MemorySendChannel
     _receiver: trio.MemoryReceiveChannel
+    _resources: ConnectionResources
+    share: MemoryShare = attrs.field(init=False)
     _disconnect_scope: trio.CancelScope | None = None
+    _request_scope: trio.CancelScope | None = None
     _is_disconnected: bool = False
+    _is_broken: bool = False
     _read_at: float = 0.0
+    _parsing: int = 0  # bytes given to the parser and not counted as a request's yet
+    _request_size: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.share = self._resources.budget.open_share(
+            self._resources.group, self._yield_memory
+        )
 
     @classmethod
     def from_stream(
-        cls, stream: trio.abc.Stream, read_limits: LimitsSource
+        cls,
+        stream: trio.abc.Stream,
+        read_limits: LimitsSource,
+        resources: ConnectionResources,
     ) -> "ServerConnection":
         """Return a connection over a newly accepted stream.
 
@@ -96,7 +134,7 @@
         sender, receiver = trio.open_memory_channel[_ReadBytes](1)
         max_head = read_limits().max_head
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_head)
-        return cls(stream, read_limits, http, sender, receiver)
+        return cls(stream, read_limits, http, sender, receiver, resources)
 
     @property
     def _limits(self) -> ServerLimits:
@@ -112,6 +150,10 @@
                 data = b""
             if not data:
                 self._mark_disconnected()
+            elif self.share.holding.kind is HoldingKind.IDLE:
+                self.share.enter(HoldingKind.INCOMPLETE)
+            if not await self.share.grow(len(data)):
+                return
             await self._sender.send(_ReadBytes(data, trio.current_time()))
 
     @property
@@ -149,27 +191,41 @@
         """Return the next request, a refusal of a faulty one, or None at the end.
 
         The end is a disconnect or the idle timeout. A request that exceeds the
-        read timeout is refused.
+        read timeout is refused, and so is one that yields its memory to others.
         """
         self._disconnect_scope = None
         has_begun = False
         with trio.move_on_after(self._limits.idle_timeout) as scope:
+            self._request_scope = scope
+            if self.share.is_closed:
+                scope.cancel()
             has_begun = await self._receive_first_bytes()
             if not has_begun:
                 return None
+            self.share.enter(HoldingKind.INCOMPLETE)
             try:
                 return await self._read_request(scope)
             except h11.RemoteProtocolError as error:
                 return _classify_protocol_error(error)
-        return REQUEST_TIMEOUT if has_begun else None
+        if not has_begun:
+            return None
+        return MEMORY_SHORT if self.share.is_closed else REQUEST_TIMEOUT
 
     async def send_response(
-        self, status: int, headers: tuple[Header, ...], body: bytes, close: bool = False
+        self,
+        status: int,
+        headers: tuple[Header, ...],
+        *body: bytes,
+        close: bool = False,
     ) -> None:
-        """Send a complete response; raises `ClientDisconnectedError`."""
-        length = (b"content-length", str(len(body)).encode())
+        """Send a complete response, whose body may be in pieces.
+
+        Raises `ClientDisconnectedError`.
+        """
+        length = (b"content-length", str(sum(map(len, body))).encode())
         head = self._build_head(status, (*headers, length), close)
-        await self._send_events(head, h11.Data(data=body), h11.EndOfMessage())
+        pieces = [h11.Data(data=piece) for piece in body]
+        await self._send_events(head, *pieces, h11.EndOfMessage())
 
     async def start_response(
         self,
@@ -198,11 +254,16 @@
 
     def start_next_cycle(self) -> bool:
         """Prepare the next request; return False if the connection must close."""
+        if self._is_broken or self.share.is_closed:
+            return False
         if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self.share.add(-self._request_size)
+        self._request_size = 0
+        self.share.enter(HoldingKind.IDLE)
         return True
 
     async def _receive_first_bytes(self) -> bool:
@@ -221,9 +282,14 @@
         scope.deadline = begun_at + min(limits.head_timeout, limits.read_timeout)
         head: RequestHead | None = None
         body = bytearray()
+        chunks = 0
+        progress = _Progress(limits, begun_at)
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
+                if head is not None:
+                    self._count_request(_measure_head(head) + len(body))
+                    scope.deadline = progress.compute_deadline(len(body))
                 await self._receive_more()
             elif isinstance(event, h11.Request):
                 head = RequestHead(
@@ -231,7 +297,6 @@
                     target=event.target,
                     headers=tuple(event.headers),
                 )
-                scope.deadline = begun_at + limits.read_timeout
                 if _has_conflicting_framing(head):
                     return MALFORMED.with_reason("both content-length and chunked")
                 if _measure_head(head) > self._limits.max_head:
@@ -242,7 +307,15 @@
                 body += event.data
                 if len(body) > self._limits.max_body:
                     return BODY_TOO_LARGE
+                self.share.record_progress()
+                chunks += 1
+                if chunks % PACED_CHUNKS == 0:
+                    await self._resources.pace.spend(PACED_CHUNKS)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
+                rest = len(self._http.trailing_data[0])
+                self._count_request(_measure_head(head) + len(body), rest)
+                self.share.enter(HoldingKind.RUNNING)
+                self._request_scope = None
                 age = trio.current_time() - self._read_at
                 return ReceivedRequest(head, bytes(body), age)
             else:
@@ -258,9 +331,26 @@
         """Pass what was read next to the parser; return False at the end."""
         received = await self._receiver.receive()
         self._read_at = received.read_at
+        self._parsing += len(received.data)
         self._http.receive_data(received.data)
         return bool(received.data)
 
+    def _count_request(self, size: int, rest: int = 0) -> None:
+        """Count a request's parsed bytes instead of those that it was sent in.
+
+        `rest` are bytes of the next request, which the parser holds too.
+        """
+        self.share.add(size + rest - self._request_size - self._parsing)
+        self._request_size = size
+        self._parsing = rest
+
+    def _yield_memory(self) -> None:
+        """End the connection at once, since others need its memory or its place."""
+        if self._request_scope is not None:
+            self._request_scope.cancel()
+        else:
+            self._mark_disconnected()
+
     def _build_head(
         self, status: int, headers: tuple[Header, ...], close: bool
     ) -> h11.Response:
@@ -270,12 +360,18 @@
     async def _send_events(self, *events: h11.Event) -> None:
         """Send parts of a response, or raise `ClientDisconnectedError`.
 
-        A client that closed its side within a request can't be sent a response.
+        A client that closed its side within a request can't be sent a response. After
+        a part that was not sent whole the connection is broken.
         """
+        if self._is_broken:
+            raise ClientDisconnectedError("a response on the connection was cut off")
         try:
-            data = b"".join(self._http.send(event) or b"" for event in events)
-            if data:
+            pieces = [self._http.send(event) or b"" for event in events]
+            self._is_broken = True
+            for data in join_small(pieces):
                 await self._stream.send_all(data)
+                self.share.record_progress()
+            self._is_broken = False
         except h11.LocalProtocolError as error:
             raise ClientDisconnectedError(f"can't send a response: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -287,18 +383,43 @@
             self._disconnect_scope.cancel()
 
 
+@attrs.define
+class _Progress:
+    """The time by which more of a body must have arrived."""
+
+    _limits: ServerLimits
+    _begun_at: float
+    _counted: int = 0
+    _window_ends_at: float | None = None
+
+    def compute_deadline(self, size: int) -> float:
+        """Return the deadline after `size` bytes of the body, on trio's clock."""
+        has_progressed = size - self._counted >= self._limits.min_progress
+        if self._window_ends_at is None or has_progressed:
+            self._counted = size
+            self._window_ends_at = trio.current_time() + self._limits.progress_window
+        return min(self._begun_at + self._limits.read_timeout, self._window_ends_at)
+
+
 @asynccontextmanager
 async def open_server_connection(
-    stream: trio.abc.Stream, read_limits: LimitsSource
+    stream: trio.abc.Stream,
+    read_limits: LimitsSource,
+    resources: ConnectionResources | None = None,
 ) -> AsyncIterator[ServerConnection]:
-    """Run a connection's pump for the duration of the block, then close it."""
-    connection = ServerConnection.from_stream(stream, read_limits)
+    """Run a connection's pump for the duration of the block, then close it.
+
+    Without `resources` it shares no memory with other connections.
+    """
+    resources = resources or ConnectionResources()
+    connection = ServerConnection.from_stream(stream, read_limits, resources)
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.pump)
             yield connection
             nursery.cancel_scope.cancel()
     finally:
+        connection.share.end()
         await trio.aclose_forcefully(stream)
 
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/refusals.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/refusals.py
@@ -20,6 +20,7 @@
     "upstream_failed": 502,
     "catalogue_stale": 503,
     "draining": 503,
+    "memory_short": 503,
     "no_backend_server": 503,
     "overloaded": 503,
     "part_held": 503,
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -9,6 +9,7 @@
 import yaml
 from attrs import validators
 
+from geraniumhall_core.buffers import MEMORY_POLICIES
 from geraniumhall_core.catalogue import EDITABLE_KINDS
 from geraniumhall_core.confirmations import CONFIRMATION_POLICIES
 from geraniumhall_core.holding import HOLD_POLICIES
@@ -63,10 +64,19 @@
 
 @attrs.frozen(kw_only=True)
 class HostSettings:
-    """Identity of the host."""
+    """Identity of the host, and what one of its processes may use.
+
+    `memory` is the size at which the process is ended; a part of it is for what is held
+    for connections. `max_descriptors` is the process's limit of descriptors; at zero it
+    is the one that the system states.
+    """
 
     name: str = attrs.field(validator=validators.min_len(1))
     failure_domain: str = attrs.field(validator=validators.min_len(1))
+    memory: ByteCount = attrs.field(
+        default=ByteCount(160 * 2**20), validator=validators.gt(ByteCount(0))
+    )
+    max_descriptors: int = attrs.field(default=0, validator=validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
@@ -77,6 +87,16 @@
     without a request is closed after `idle_timeout`. The operators'
     configuration takes precedence for `max_head`, `max_body` and
     `idle_timeout`.
+
+    While a body is incomplete, `min_progress` bytes of it must arrive in every
+    `progress_window`. Bodies in very small chunks are parsed at `max_chunk_rate` chunks
+    a second for all connections together. `memory` is the budget for what is held for
+    connections, a quarter of the host's memory if it is zero, and `memory_policy`
+    decides who waits, is refused or is closed when it is used up. Of one address at
+    most `max_per_address` connections are open, or any number if it is zero, since a
+    load balancer may forward all callers from one. At `max_connections`, or half of the
+    descriptors that are left for connections, a stalled or idle one yields to a new
+    one.
     """
 
     front: str = "openai"
@@ -86,6 +106,16 @@
     max_body: ByteCount = ByteCount(8 * 2**20)
     read_timeout: Seconds = Seconds(30.0)
     idle_timeout: Seconds = Seconds(60.0)
+    min_progress: ByteCount = ByteCount(2**10)
+    progress_window: Seconds = attrs.field(
+        default=Seconds(10.0), validator=validators.gt(Seconds(0))
+    )
+    max_chunk_rate: float = attrs.field(default=20_000.0, validator=validators.gt(0))
+    memory: ByteCount = ByteCount(0)
+    memory_policy: str = attrs.field(
+        default="stalled_first", validator=_check_registered(MEMORY_POLICIES)
+    )
+    max_per_address: int = attrs.field(default=0, validator=validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
