Add a crowd whose JSON bodies have very many parts

Twenty callers send whole bodies of 4 MiB to the OpenAI-style front, of which the parser makes 1.4 million objects each.

--- a/packages/geraniumhall-bench/tests/test_crowds.py
+++ b/packages/geraniumhall-bench/tests/test_crowds.py
@@ -220,6 +220,14 @@
     await stream.send_all(HEAD)
 
 
+async def send_many_parts(stream: trio.SocketStream) -> None:
+    """Send a whole JSON body of very many small parts and read the answer."""
+    body = b'{"model":"m","messages":[' + b"{}," * (MAX_BODY // 3 - 20) + b"{}]}"
+    head = HEAD.replace(b"/filings", b"/v1/chat/completions")
+    await stream.send_all(head + b"content-length: %d\r\n\r\n" % len(body) + body)
+    await stream.receive_some(4096)
+
+
 class CrowdTest(unittest.TestCase):
     """No crowd ends a daemon, exceeds its memory or keeps ordinary callers out."""
 
@@ -285,6 +293,10 @@
         """Many connections with the start of a head keep no ordinary caller out."""
         self.play(LARGE_CROWD, begin_head)
 
+    def test_json_of_very_many_parts(self) -> None:
+        """Bodies of 4 MiB that a JSON parser makes 1.4 million objects of."""
+        self.play(CROWD // 3, send_many_parts)
+
     def test_answers_that_are_not_read(self) -> None:
         """Callers ask for long answers and don't read them."""
         self.play(2 * CROWD, ask_for_report)
