Refuse JSON bodies that would be parsed into far more memory than they have

Cause: `[{},{},...` of 4 MiB is parsed into 1.4 million objects, over 20 times its size, outside the budget of what is held for callers. Change: the memory is estimated from the numbers of braces, brackets and commas, and a body of more than 64 MiB is refused as too large (413), before it is parsed. Ruled out: a bound on the parts alone (a long prompt of token ids has millions). A prompt of 1.25 million token ids is still parsed.

--- a/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
@@ -17,7 +17,12 @@
 from geraniumhall_core.effects import ServerAttempt
 from geraniumhall_core.keys import Credential, parse_key
 from geraniumhall_core.notices import ServerNotice
-from geraniumhall_core.refusals import MALFORMED, METHOD_NOT_ALLOWED, Refusal
+from geraniumhall_core.refusals import (
+    BODY_TOO_LARGE,
+    MALFORMED,
+    METHOD_NOT_ALLOWED,
+    Refusal,
+)
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.requests import (
     CallerRequest,
@@ -39,6 +44,9 @@
 ESTIMATED_BYTES_PER_TOKEN = 4
 MAX_TOKENS = 10**9
 MAX_TIMEOUT_DIGITS = 15
+MAX_PARSED_BYTES = 64 * 2**20  # of memory, estimated, that a JSON body is parsed into
+BYTES_PER_CONTAINER = 200  # of a parsed object or list
+BYTES_PER_ITEM = 40  # of a parsed number or short text
 PREFIX_BYTES = 1024  # of the prompt, hashed for routing by prefix
 MIN_RETRY_SECONDS = 1
 STATUS_SERVER_ERROR = 500
@@ -205,7 +213,15 @@
     return bool(sent) and any(sent in place for place in places)
 
 
+def _estimate_parsed_bytes(body: bytes) -> int:
+    """Return about how much memory the parsed body takes beside its texts."""
+    containers = body.count(b"{") + body.count(b"[")
+    return containers * BYTES_PER_CONTAINER + body.count(b",") * BYTES_PER_ITEM
+
+
 def _parse_object(body: bytes) -> dict[str, Any] | Refusal:
+    if _estimate_parsed_bytes(body) > MAX_PARSED_BYTES:
+        return BODY_TOO_LARGE.with_reason("the body has too many parts")
     try:
         data = loads(body)
     except (ValueError, RecursionError):
--- a/packages/geraniumhall-wire/tests/test_caller.py
+++ b/packages/geraniumhall-wire/tests/test_caller.py
@@ -96,6 +96,13 @@
         """A body that is not JSON is malformed."""
         self.assertEqual(parse_refused(body=b"{").code, "malformed")
 
+    def test_body_of_very_many_parts_is_refused(self) -> None:
+        """It would take many times its size; a long prompt of tokens is parsed."""
+        data = {"model": "draft", "messages": [{}] * 400_000}
+        self.assertEqual(parse_refused(data).code, "body_too_large")
+        prompt = list(range(10_000, 60_000)) * 25
+        parse_accepted({"model": "draft", "prompt": prompt}, path="/v1/completions")
+
     def test_wrong_method(self) -> None:
         """Only the method POST is allowed for completions."""
         self.assertEqual(parse_refused({}, method=b"GET").code, "method_not_allowed")
