--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
@@ -1,7 +1,8 @@
 """The budget of memory for connections and the bound on them, from the settings.
 
-Each decision of the budget other than a grant is counted and logged. A connection that
-waits for memory is logged once in `DELAY_LOG_SECONDS` for all that do.
+Each decision of the budget other than a grant is counted and logged, and so is each
+connection that meets another limit. What may happen for every packet is logged once in
+`QUIET_SECONDS`.
 """
 
 from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
@@ -18,25 +19,23 @@
 MEMORY_FRACTION = 0.25  # of the host's, held for connections
 RESERVED_DESCRIPTORS = 200  # for files and for the connections of operators
 DESCRIPTOR_FRACTION = 0.5  # of the others; a request needs one on each side
-DELAY_LOG_SECONDS = 1.0
-COUNTED_ALWAYS = ("closed", "refused")
+QUIET_SECONDS = 1.0  # between two log lines of a limit that is met again and again
+LOGGED_ALWAYS = ("closed", "refused")
 
 
-@attrs.define
-class DecisionLog:
-    """Counts the budget's decisions and logs them."""
+@attrs.define(eq=False)
+class LimitLog:
+    """Counts and logs when connections meet a limit."""
 
     metrics: MetricsSink
     _quiet_until: dict[str, float] = attrs.field(factory=dict)
 
-    def record(self, name: str, holding: Holding) -> None:
-        """Record a decision on a connection."""
+    def record_decision(self, name: str, holding: Holding) -> None:
+        """Record a decision of the budget on a connection."""
         self.metrics.count(f"caller_memory.{name}")
         now = trio.current_time()
-        if now < self._quiet_until.get(name, 0.0):
+        if name not in LOGGED_ALWAYS and not self._is_due(name):
             return
-        if name not in COUNTED_ALWAYS:
-            self._quiet_until[name] = now + DELAY_LOG_SECONDS
         fields = {
             "decision": name,
             "group": holding.group,
@@ -46,16 +45,29 @@
         }
         write_log("warning", "caller_memory", fields)
 
+    def record_limit(self, name: str, detail: str) -> None:
+        """Record that a connection met another limit, such as `paced`."""
+        self.metrics.count(f"caller_limits.{name}")
+        if self._is_due(name):
+            write_log("warning", "caller_limit", {"limit": name, "detail": detail})
+
+    def _is_due(self, name: str) -> bool:
+        now = trio.current_time()
+        if now < self._quiet_until.get(name, float("-inf")):
+            return False
+        self._quiet_until[name] = now + QUIET_SECONDS
+        return True
+
 
 def build_budget(
-    callers: CallerSettings, host: HostSettings, metrics: MetricsSink
+    callers: CallerSettings, host: HostSettings, log: LimitLog
 ) -> MemoryBudget:
     """Return the budget of a process on a host with this much memory."""
     total = callers.memory or int(host.memory * MEMORY_FRACTION)
     policy = MEMORY_POLICIES.find(callers.memory_policy)()
-    budget = MemoryBudget(total, policy, DecisionLog(metrics).record)
-    metrics.observe_gauge("caller_memory_bytes", lambda: budget.used)
-    metrics.observe_gauge("caller_memory_limit_bytes", lambda: budget.total)
+    budget = MemoryBudget(total, policy, log.record_decision)
+    log.metrics.observe_gauge("caller_memory_bytes", lambda: budget.used)
+    log.metrics.observe_gauge("caller_memory_limit_bytes", lambda: budget.total)
     return budget
 
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -13,7 +13,7 @@
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.reducer import Effect, Event
 from geraniumhall_core.state import DaemonState
-from geraniumhall_daemon.budgets import build_budget
+from geraniumhall_daemon.budgets import LimitLog, build_budget
 from geraniumhall_daemon.clock import SystemClock
 from geraniumhall_daemon.exchanges import Exchange
 from geraniumhall_daemon.expiries import Expiries
@@ -89,6 +89,7 @@
     metrics: MetricsSink
     front: Front
     recorder: Recorder
+    limit_log: LimitLog
     budget: MemoryBudget = attrs.field(factory=MemoryBudget)
     pace: ParsingPace = attrs.field(factory=ParsingPace)
     exchanges: dict[str, Exchange] = attrs.field(factory=dict)
@@ -117,7 +118,8 @@
         clock = clock or SystemClock()
         policy = settings.build_policy(_generate_incarnation(clock, random))
         metrics = MetricsSink.from_settings(settings.metrics)
-        budget = build_budget(settings.callers, settings.host, metrics)
+        limit_log = LimitLog(metrics)
+        budget = build_budget(settings.callers, settings.host, limit_log)
         pool = ClientPool(
             connector=connector,
             connect_timeout=settings.upstream.connect_timeout,
@@ -137,7 +139,11 @@
             metrics=metrics,
             recorder=recorder or RecentHistory(),
             budget=budget,
-            pace=ParsingPace(settings.callers.max_chunk_rate),
+            pace=ParsingPace(
+                settings.callers.max_chunk_rate,
+                on_wait=lambda: limit_log.record_limit("paced", "chunks of a body"),
+            ),
+            limit_log=limit_log,
         )
 
     def change_settings(self, settings: Settings) -> None:
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -110,6 +110,7 @@
             count_caller_connections(callers, settings.host),
             partial(daemon.budget.close_one, CALLERS),
             callers.max_per_address,
+            partial(daemon.limit_log.record_limit, "address"),
         ),
         "admin": await Listener.from_address(
             settings.admin.listen,
--- a/packages/geraniumhall-net/src/geraniumhall_net/budget.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/budget.py
@@ -189,10 +189,13 @@
 
     rate: float = float("inf")
     burst: float = 1.0
+    on_wait: Callable[[], None] = lambda: None
     _next_at: float = attrs.field(default=float("-inf"), init=False)
 
     async def spend(self, chunks: int) -> None:
         """Wait until `chunks` may have been parsed; always let other tasks run."""
         now = trio.current_time()
         self._next_at = max(now, self._next_at) + chunks / self.rate
+        if self._next_at - self.burst > now:
+            self.on_wait()
         await trio.sleep_until(self._next_at - self.burst)
--- a/packages/geraniumhall-net/src/geraniumhall_net/listener.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/listener.py
@@ -22,8 +22,8 @@
 
     At the limit `make_room` is called for each connection that waits, so that it may
     close another. Of one peer address at most `max_per_address` are open, or any number
-    if that is zero. An exception from a connection's handler is logged and ends only
-    that connection.
+    if that is zero; `on_refused` gets the address of a further one. An exception from a
+    connection's handler is logged and ends only that connection.
     """
 
     _listeners: list[trio.SocketListener]
@@ -31,6 +31,7 @@
     _connection_limiter: trio.CapacityLimiter
     _make_room: Callable[[], None]
     _max_per_address: int
+    _on_refused: Callable[[str], None]
     _open_by_address: Counter[str] = attrs.field(factory=Counter, init=False)
     _accept_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope, init=False)
 
@@ -42,12 +43,13 @@
         max_connections: int,
         make_room: Callable[[], None] = lambda: None,
         max_per_address: int = 0,
+        on_refused: Callable[[str], None] = lambda peer: None,
     ) -> "Listener":
         """Bind a listener to `address`; raises `OSError`."""
         host, port = split_address(address)
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
         limiter = trio.CapacityLimiter(max_connections)
-        return cls(listeners, handler, limiter, make_room, max_per_address)
+        return cls(listeners, handler, limiter, make_room, max_per_address, on_refused)
 
     @property
     def address(self) -> str:
@@ -104,7 +106,7 @@
             if self._has_place(peer):
                 await self._handler(stream)
             else:
-                logger.bind(peer=peer).warning("connection_over_address_limit")
+                self._on_refused(peer)
                 await trio.aclose_forcefully(stream)
         except Exception:
             logger.exception("connection_handler_failed")
--- a/packages/geraniumhall-net/tests/test_listener.py
+++ b/packages/geraniumhall-net/tests/test_listener.py
@@ -67,5 +67,72 @@
                 self.assertTrue(is_refused)
 
 
+class LimitTest(unittest.TestCase):
+    """A listener that is full, or has many connections of one address."""
+
+    async def connect(self, listener: Listener, count: int) -> list[bytes]:
+        """Open connections, send on the last one and return what each one gets."""
+        host, port = listener.address.split(":")
+        streams = [await trio.open_tcp_stream(host, int(port)) for _ in range(count)]
+        await streams[-1].send_all(b"hello")
+        answers = []
+        for stream in reversed(streams):
+            with trio.move_on_after(10 * SERVING_SECONDS) as scope:
+                answers.append(await stream.receive_some(100))
+            if scope.cancelled_caught:
+                answers.append(b"open")
+        return answers
+
+    def test_connection_that_waits_makes_another_one_yield(self) -> None:
+        """Without it a new connection would wait for as long as an old one stays."""
+        scopes: list[trio.CancelScope] = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            with trio.CancelScope() as scope:
+                scopes.append(scope)
+                await answer(stream)
+            await trio.aclose_forcefully(stream)
+
+        async def run() -> list[bytes]:
+            async with trio.open_nursery() as nursery:
+                listener = await Listener.from_address(
+                    "127.0.0.1:0", serve, 2, lambda: scopes.pop(0).cancel()
+                )
+                nursery.start_soon(listener.serve, nursery)
+                answers = await self.connect(listener, 3)
+                nursery.cancel_scope.cancel()
+            return answers
+
+        self.assertEqual(trio.run(run), [b"answer to hello", b"open", b""])
+
+    def test_connections_of_one_address_are_bounded(self) -> None:
+        """A further one is closed at once, and named."""
+        refused: list[str] = []
+
+        async def run() -> list[bytes]:
+            async with trio.open_nursery() as nursery:
+                listener = await Listener.from_address(
+                    "127.0.0.1:0",
+                    answer,
+                    100,
+                    max_per_address=2,
+                    on_refused=refused.append,
+                )
+                nursery.start_soon(listener.serve, nursery)
+                host, port = listener.address.split(":")
+                streams = []
+                for _ in range(3):
+                    streams.append(await trio.open_tcp_stream(host, int(port)))
+                    await trio.sleep(SERVING_SECONDS)
+                closed = await streams[2].receive_some(100)
+                await streams[1].send_all(b"hello")
+                answers = [closed, await streams[1].receive_some(100)]
+                nursery.cancel_scope.cancel()
+            return answers
+
+        self.assertEqual(trio.run(run), [b"", b"answer to hello"])
+        self.assertEqual(refused, ["127.0.0.1"])
+
+
 if __name__ == "__main__":
     unittest.main()
