Free a server's connection once its answer is whole, and spare requests that arrive

Cause: a whole buffered answer kept the connection to its server until the caller had read it, and a shortage left every answer half buffered. The log showed a second fault: an answer that asked for room had fresh ordinary requests closed, since its connection counts as a running request, not as an answer, until it is forwarded.

Change: the connection is given up when the answer is whole; an answer with a length gets its room before it is read, or none; bytes for an answer are marked as such, and only incomplete requests have others closed that are not stalled; at the limit of connections one that was heard of within a second keeps its place, and room is looked for again every 0.25 s; the end of a connection needs no room.

--- a/packages/geraniumhall-core/src/geraniumhall_core/buffers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/buffers.py
@@ -72,7 +72,8 @@
 class MemoryQuery:
     """A connection that asks for `size` further bytes, and the budget.
 
-    `used` counts the bytes of all connections; `now` is in seconds.
+    `used` counts the bytes of all connections; `now` is in seconds. Bytes that
+    `is_answer` asks for hold an answer back, which can be passed on without them.
     """
 
     now: float
@@ -80,6 +81,7 @@
     size: int
     used: int
     total: int
+    is_answer: bool = False
 
     @property
     def is_ordinary(self) -> bool:
@@ -121,7 +123,8 @@
 
     Then come answers that nobody reads, then idle connections. A request that is whole
     is never closed. An asker that is next to be closed is refused, unless it is
-    ordinary: then it waits for room if none can be made.
+    ordinary: then it waits for room if none can be made. Only incomplete requests have
+    others closed that are not stalled.
     """
 
     def decide(self, query: MemoryQuery, holdings: Iterable[Holding]) -> MemoryDecision:
@@ -142,15 +145,16 @@
                 break
         if freed >= query.missing:
             return MemoryDecision(MemoryVerdict.GRANT, tuple(closed))
-        may_wait = query.is_ordinary or query.asker.kind is HoldingKind.RUNNING
+        is_whole = query.asker.kind is not HoldingKind.INCOMPLETE
+        may_wait = not query.is_answer and (query.is_ordinary or is_whole)
         verdict = MemoryVerdict.WAIT if may_wait else MemoryVerdict.REFUSE
         return MemoryDecision(verdict, tuple(closed))
 
     def choose_closed(self, now: float, holdings: Iterable[Holding]) -> Holding | None:
         """Return the oldest stalled request, else the longest idle connection.
 
-        Without either, the oldest request that is still incomplete yields, and then the
-        answer that has been unread for longest.
+        Without either, the answer that has been unread for longest yields. A connection
+        that was heard of within `STALL_SECONDS` is kept, so that a new one waits.
         """
         ranked = [(_rank_for_place(now, holding), holding) for holding in holdings]
         closable = [(rank, holding) for rank, holding in ranked if rank is not None]
@@ -160,12 +164,12 @@
 
 def _rank_for_place(now: float, holding: Holding) -> tuple[int, float] | None:
     silence = now - holding.progressed_at
-    if holding.kind is HoldingKind.IDLE:
+    if holding.kind is HoldingKind.INCOMPLETE and silence > STALL_SECONDS:
+        return 0, holding.began_at
+    if holding.kind is HoldingKind.IDLE and silence > STALL_SECONDS:
         return 1, holding.progressed_at
-    if holding.kind is HoldingKind.INCOMPLETE:
-        return (0 if silence > STALL_SECONDS else 2), holding.began_at
     if holding.kind is HoldingKind.ANSWER and silence > UNREAD_SECONDS:
-        return 3, holding.progressed_at
+        return 2, holding.progressed_at
     return None
 
 
@@ -183,15 +187,14 @@
     now = query.now
     silence = now - holding.progressed_at
     order = (-holding.size, holding.compute_speed(now), holding.began_at)
-    is_answer = query.asker.kind is HoldingKind.ANSWER  # it can be passed on unbuffered
-    if holding.kind is HoldingKind.INCOMPLETE:
-        if silence > STALL_SECONDS:
-            return 0, *order
-        return None if is_answer else (1, *order)
-    if is_answer or holding is query.asker:
+    if holding.kind is HoldingKind.INCOMPLETE and silence > STALL_SECONDS:
+        return 0, *order
+    if query.asker.kind is not HoldingKind.INCOMPLETE or query.is_answer:
         return None
+    if holding.kind is HoldingKind.INCOMPLETE:
+        return 1, *order
     if holding.kind is HoldingKind.ANSWER and silence > UNREAD_SECONDS:
         return 2, *order
-    if holding.kind is HoldingKind.IDLE:
+    if holding.kind is HoldingKind.IDLE and silence > STALL_SECONDS:
         return 3, 0, holding.progressed_at, 0.0
     return None
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -158,7 +158,7 @@
         if kind in OUTCOMES_BY_KIND and not self._is_passed_through(kind):
             return await self._read_failure(kind, head)
         if isinstance(self.effect, PrefillPrompt):
-            return await self._read_prefill_result()
+            return await self._read_prefill_result(head)
         return await self._relay(head)
 
     def _compute_time_left(self) -> float:
@@ -194,12 +194,12 @@
         outcome, verdict = OUTCOMES_BY_KIND[kind]
         if verdict is Verdict.NOT_RUN and self.upstream is not None:
             self.upstream.refused.add(self.exchange.call.request.caller_id)
-        await self._read_buffered()
+        await self._read_buffered(head)
         reason = f"the backend server returned status {head.status}"
         return AttemptResult(outcome, verdict, reason=reason)
 
-    async def _read_prefill_result(self) -> AttemptResult:
-        body = b"".join(await self._read_buffered())
+    async def _read_prefill_result(self, head: ResponseHead) -> AttemptResult:
+        body = b"".join(await self._read_buffered(head))
         try:
             kv_cache = self.daemon.front.decode_kv_cache_ref(self.effect, body)
         except InvalidDataError as error:
@@ -215,7 +215,7 @@
             chunk = await self._read_chunk()
             first = [] if chunk is None else [chunk]
         else:
-            first = await self._read_buffered()
+            first = await self._read_buffered(head)
         await self._forward_response(head, first)
         return self._build_result()
 
@@ -226,6 +226,7 @@
             raise ExchangeFailedError("the stream ended before its first event")
         connection.share.enter(HoldingKind.ANSWER)
         if self.is_complete:
+            await self._return_connection()
             self.is_sending = True
             await connection.send_response(
                 head.status, headers, *first, close=self.exchange.must_close
@@ -278,27 +279,43 @@
             self.scanner.feed(chunk)
         return chunk
 
-    async def _read_buffered(self) -> list[bytes]:
+    async def _read_buffered(self, head: ResponseHead) -> list[bytes]:
         """Return the pieces of the body, or of the start of a long one.
 
         The start ends beyond `MAX_BUFFERED_BYTES`, or where the memory for answers
-        does.
+        does. A body with a length is buffered whole or not at all, so that its server
+        is free soon.
         """
         pieces: list[bytes] = []
         size = 0
-        share = self.exchange.connection.share
+        declared = int(head.find(b"content-length") or 0)
+        has_room = await self._hold(min(declared, MAX_BUFFERED_BYTES))
         while size <= MAX_BUFFERED_BYTES:
             chunk = await self._read_chunk()
             if chunk is None:
                 break
             pieces.append(chunk)
             size += len(chunk)
-            if not share.try_grow(len(chunk)):
-                await self.daemon.pool.close_idle()
+            if not has_room or not await self._hold(size - self.buffered):
                 break
-            self.buffered += len(chunk)
         return pieces
 
+    async def _hold(self, size: int) -> bool:
+        """Count bytes of the answer as held; return False if there is no room.
+
+        What is read for the daemon itself is always held.
+        """
+        if size <= 0:
+            return True
+        share = self.exchange.connection.share
+        if isinstance(self.effect, PrefillPrompt):
+            share.add(size)
+        elif not share.try_grow(size):
+            await self.daemon.pool.close_idle()
+            return False
+        self.buffered += size
+        return True
+
     def _free_buffered(self, size: int) -> None:
         freed = min(size, self.buffered)
         self.buffered -= freed
@@ -349,12 +366,14 @@
         )
 
     async def _return_connection(self) -> None:
-        if self.upstream is None:
+        """Give up the server's connection, as soon as its answer is whole."""
+        upstream, self.upstream = self.upstream, None
+        if upstream is None:
             return
         if self.is_complete:
-            await self.daemon.pool.release(self.effect.address, self.upstream)
+            await self.daemon.pool.release(self.effect.address, upstream)
         else:
-            await self.daemon.pool.discard(self.effect.address, self.upstream)
+            await self.daemon.pool.discard(self.effect.address, upstream)
 
 
 @EXCHANGE_PERFORMERS.register(PrefillPrompt)
--- a/packages/geraniumhall-net/src/geraniumhall_net/budget.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/budget.py
@@ -18,6 +18,7 @@
 import trio
 
 from geraniumhall_core.buffers import (
+    FREED_FRACTION,
     MEMORY_POLICIES,
     RESERVED_FRACTION,
     Holding,
@@ -56,8 +57,8 @@
 
     @property
     def is_short(self) -> bool:
-        """Whether only the reserve for ordinary connections is left."""
-        return self.used > self.total * (1 - RESERVED_FRACTION)
+        """Whether little more than the reserve for ordinary connections is left."""
+        return self.used > self.total * (1 - RESERVED_FRACTION - FREED_FRACTION)
 
     def open_share(self, group: str, close: Callable[[], None]) -> "MemoryShare":
         """Return the share of a new connection, which `close` ends at once."""
@@ -75,7 +76,9 @@
         if holding is not None:
             self._close(holding)
 
-    def decide(self, asker: Holding, size: int) -> MemoryVerdict:
+    def decide(
+        self, asker: Holding, size: int, is_answer: bool = False
+    ) -> MemoryVerdict:
         """Decide on `size` bytes for an asker, and close whom that needs."""
         query = MemoryQuery(
             now=trio.current_time(),
@@ -83,6 +86,7 @@
             size=size,
             used=self.used,
             total=self.total,
+            is_answer=is_answer,
         )
         if query.missing <= 0:
             return MemoryVerdict.GRANT
@@ -155,7 +159,8 @@
         """Hold further bytes of an answer, or return False at once."""
         if self.is_closed:
             return False
-        if self._budget.decide(self.holding, size) is not MemoryVerdict.GRANT:
+        verdict = self._budget.decide(self.holding, size, is_answer=True)
+        if verdict is not MemoryVerdict.GRANT:
             self._budget.on_decision("unbuffered", self.holding)
             return False
         self.add(size)
--- a/packages/geraniumhall-net/src/geraniumhall_net/listener.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/listener.py
@@ -12,6 +12,7 @@
 from geraniumhall_wire.settings import split_address
 
 BACKLOG = 1024
+ROOM_SECONDS = 0.25  # between attempts to make room for a connection that waits
 
 ConnectionHandler = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -20,8 +21,8 @@
 class Listener:
     """Accepts connections up to a limit; more wait in the kernel's backlog.
 
-    At the limit `make_room` is called for each connection that waits, so that it may
-    close another. Of one peer address at most `max_per_address` are open, or any number
+    At the limit `make_room` is called while a connection waits, so that it may close
+    another. Of one peer address at most `max_per_address` are open, or any number
     if that is zero; `on_refused` gets the address of a further one. An exception from a
     connection's handler is logged and ends only that connection.
     """
@@ -82,10 +83,7 @@
 
     async def _accept_one(self, nursery: trio.Nursery) -> None:
         token = object()
-        if self._connection_limiter.available_tokens < 1:
-            await trio.lowlevel.wait_readable(self._listeners[0].socket)
-            self._make_room()
-        await self._connection_limiter.acquire_on_behalf_of(token)
+        await self._wait_for_place(token)
         try:
             stream = await self._listeners[0].accept()
         except OSError:
@@ -97,6 +95,16 @@
             raise
         nursery.start_soon(self._handle, stream, token)
 
+    async def _wait_for_place(self, token: object) -> None:
+        """Wait until a connection may be accepted, making room for one that waits."""
+        while True:
+            if self._connection_limiter.available_tokens < 1:
+                await trio.lowlevel.wait_readable(self._listeners[0].socket)
+                self._make_room()
+            with trio.move_on_after(ROOM_SECONDS):
+                await self._connection_limiter.acquire_on_behalf_of(token)
+                return
+
     async def _handle(self, stream: trio.SocketStream, token: object) -> None:
         peer = ""
         try:
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -152,7 +152,7 @@
                 self._mark_disconnected()
             elif self.share.holding.kind is HoldingKind.IDLE:
                 self.share.enter(HoldingKind.INCOMPLETE)
-            if not await self.share.grow(len(data)):
+            if data and not await self.share.grow(len(data)):
                 return
             await self._sender.send(_ReadBytes(data, trio.current_time()))
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -883,8 +883,8 @@
         22,
         "bytes that are read are not counted",
         f"{NET}/server.py",
-        "if not await self.share.grow(len(data)):",
-        "if not await self.share.grow(0):",
+        "if data and not await self.share.grow(len(data)):",
+        "if data and not await self.share.grow(0):",
         "test_budget",
     ),
     Mutation(
