--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -17,12 +17,14 @@
 import trio
 
 from geraniumhall_net.liveness import enable_tcp_keepalive
+from geraniumhall_net.pieces import join_small
 from geraniumhall_wire.heads import ResponseHead, UpstreamRequest
 from geraniumhall_wire.settings import split_address
 
 RECEIVE_BYTES = 65536  # at most, in one read
 MAX_FETCHED_BYTES = 16 * 2**20  # of a body that is read as a whole
 MAX_INFORMATIONAL_HEADS = 16  # before the final response
+MAX_STATUS = 599  # the parser takes any three digits
 MAX_REFUSED = 64  # refused exchanges on one connection
 BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE"})
 KEEP_ALIVE_PATTERN = compile_pattern(rb"timeout=(\d{1,9})(?!\d)")
@@ -127,7 +129,8 @@
             parts = [self._http.send(head)]
             parts.append(self._http.send(h11.Data(data=request.body)))
             parts.append(self._http.send(h11.EndOfMessage()))
-            await self._stream.send_all(b"".join(part or b"" for part in parts))
+            for data in join_small(part or b"" for part in parts):
+                await self._stream.send_all(data)
         except h11.LocalProtocolError as error:
             raise ExchangeFailedError(f"the request can't be sent: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -141,6 +144,8 @@
         for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ExchangeFailedError(f"no status: {event.status_code}")
                 head = ResponseHead(
                     status=event.status_code, headers=tuple(event.headers)
                 )
@@ -234,18 +239,36 @@
             data = await self._stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ExchangeFailedError(f"receiving failed: {error}") from error
+        if not data and self._is_reset():
+            raise ExchangeFailedError("the connection was reset after its end")
         self._http.receive_data(data)
         self._needs_data = False
 
+    def _is_reset(self) -> bool:
+        """Return whether a reset followed the end of what the server sent.
+
+        The end is read before the reset is reported, so that an answer without a
+        length would look complete.
+        """
+        if not isinstance(self._stream, trio.SocketStream):
+            return False
+        poller = select.poll()
+        poller.register(self._stream.socket.fileno(), 0)  # errors are always reported
+        return any(bits & select.POLLERR for _, bits in poller.poll(0))
+
 
 @attrs.define(eq=False)
 class ClientPool:
-    """Pool of connections by address; times are in seconds."""
+    """Pool of connections by address; times are in seconds.
+
+    No connection is kept idle while the process `is_short` of memory.
+    """
 
     connector: Connector = connect_tcp
     connect_timeout: float = 1.0
     idle_timeout: float = 4.0
     max_idle: int = 64
+    is_short: Callable[[], bool] = lambda: False
     _idle: dict[str, list[ClientConnection]] = attrs.field(factory=dict, init=False)
     _open: Counter[str] = attrs.field(factory=Counter, init=False)
     _next_expiry_check: float = attrs.field(default=float("-inf"), init=False)
@@ -278,7 +301,7 @@
     async def release(self, address: str, connection: ClientConnection) -> None:
         """Keep a connection whose exchange is complete, if it can be reused."""
         idle = self._idle.setdefault(address, [])
-        is_kept = len(idle) < self.max_idle
+        is_kept = len(idle) < self.max_idle and not self.is_short()
         is_kept = is_kept and len(connection.refused) < MAX_REFUSED
         if not is_kept or not connection.start_next_cycle():
             await self.discard(address, connection)
