Count a moved KV cache as time that engines spend

Cause: with a caller's wait at half weight, a short prompt went to a prefill engine although its transfer took longer than its prefill.

Change: the time of the transfer counts as work besides the wait. Tested: test_kept_prompts.

--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -6,7 +6,7 @@
 
 - the time to the first event, from the engine's queue, its learned speed, its running
   requests and memory, and the part of the prompt that it is not expected to keep,
-- the time of engines that the request takes,
+- the time of engines that the request takes, also for moving its KV cache,
 - what is late if the first event comes after the objective,
 - the streams that the engine generates and that the prefill makes pause for too long,
 - the price of another copy of the shared beginning, if a different engine keeps it.
@@ -124,28 +124,39 @@
 class _Candidate:
     """An engine that may get the request.
 
-    Its prefill is followed by `later` seconds until the first event. `rate` is that of
-    prefill there in tokens a second, and `read_factor` what the streams that it
-    generates add to the cost of a token.
+    Its prefill is followed by `later` seconds until the first event, of which a
+    transfer of the KV cache takes `transfer`. `rate` is that of prefill there in tokens
+    a second, and `read_factor` what the streams that it generates add to the cost of a
+    token.
     """
 
     engine: EngineView
     is_prefill_only: bool
     later: float
+    transfer: float
     rate: float
     read_factor: float
 
     @classmethod
     def from_engine(
-        cls, engine: EngineView, query: PlanQuery, is_prefill_only: bool, later: float
+        cls,
+        engine: EngineView,
+        query: PlanQuery,
+        decode_delay: float,
+        is_prefill_only: bool,
     ) -> "_Candidate":
         """Return the candidate for a prefill only, or for the whole request."""
+        transfer = 0.0
+        if is_prefill_only:
+            transfer = KV_TRANSFER_OVERHEAD_SECONDS
+            transfer += query.prompt_tokens / query.kv_transfer_rate
         rate = query.prefill_rate * engine.speed.prefill
         interference = engine.requests * PREFILL_INTERFERENCE_FACTOR
         return cls(
             engine=engine,
             is_prefill_only=is_prefill_only,
-            later=later,
+            later=transfer + decode_delay,
+            transfer=transfer,
             rate=rate if is_prefill_only else rate * MIXED_PREFILL_RATE_FACTOR,
             read_factor=1.0 if is_prefill_only else 1.0 + interference,
         )
@@ -166,15 +177,12 @@
     prefill_engines = [e for e in engines if e.role is ServerRole.PREFILL]
     situation = _Situation.from_engines((prefill_engines, decode_engines), query)
     decode_delays = [_estimate_decode_delay(e, query) for e in decode_engines]
-    transfer = (
-        KV_TRANSFER_OVERHEAD_SECONDS + query.prompt_tokens / query.kv_transfer_rate
-    )
     candidates = [
-        _Candidate.from_engine(engine, query, True, transfer + min(decode_delays))
+        _Candidate.from_engine(engine, query, min(decode_delays), True)
         for engine in prefill_engines
     ]
     candidates += [
-        _Candidate.from_engine(engine, query, False, delay)
+        _Candidate.from_engine(engine, query, delay, False)
         for engine, delay in zip(decode_engines, decode_delays, strict=True)
     ]
     options = [_weigh_reading(candidate, situation) for candidate in candidates]
@@ -249,7 +257,7 @@
         is_prefill_only=candidate.is_prefill_only,
     )
     work = read / candidate.rate - (copy_work if rereads else 0.0)
-    price = _price_wait(expected, query) + work + copy_seconds
+    price = _price_wait(expected, query) + work + candidate.transfer + copy_seconds
     if not candidate.is_prefill_only:
         price += _price_pauses(engine, read, query)
     return Option(plan=plan, price=price)
--- a/packages/geraniumhall-core/tests/test_kept_prompts.py
+++ b/packages/geraniumhall-core/tests/test_kept_prompts.py
@@ -172,6 +172,13 @@
             plan = plan_by_kept_prompt([busy, decoding], build_query(pace=known))
             self.assertEqual(plan.server, server)
 
+    def test_short_prompt_is_not_read_apart(self) -> None:
+        """Moving its KV cache takes more than it saves of the decode engine's time."""
+        engines = [build_engine("p1"), build_engine("d", role=ServerRole.DECODE)]
+        for tokens, server in ((800, "d"), (PROMPT_TOKENS, "p1")):
+            query = build_query(prompt_tokens=tokens, shared_prefix_tokens=0)
+            self.assertEqual(plan_by_kept_prompt(engines, query).server, server)
+
     def test_no_plan_without_decode_engines(self) -> None:
         """Prefill engines alone can't generate a response."""
         self.assertIsNone(plan_by_kept_prompt([build_engine("p1")], build_query()))
