Keep the usual rate of a service that gets no requests

Cause: the weights of samples vanish after half an hour, and then the median was the least sample. Seen failing: 0.16 instead of 0.8 in test_uneven_engines after an hour.

Change: samples without weight leave the usual rate as it was. The name of the policy that needs no samples is a constant.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/speeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/speeds.py
@@ -15,6 +15,7 @@
     PERCENT,
     REFRESH_SECONDS,
     SPEED_POLICIES,
+    UNIFORM,
     USUAL_SPEED,
     EngineSpeed,
     ServiceSpeed,
@@ -38,7 +39,7 @@
 
 def is_learning(state: DaemonState) -> bool:
     """Return whether this host's speed policy uses what attempts show."""
-    return state.policy.speeds != "uniform"
+    return state.policy.speeds != UNIFORM
 
 
 def find_usual_speed(state: DaemonState, service: str, now: float) -> ServiceSpeed:
--- a/packages/geraniumhall-core/src/geraniumhall_core/speeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/speeds.py
@@ -65,12 +65,13 @@
 
 
 USUAL_SPEED = EngineSpeed()
+UNIFORM = "uniform"  # the policy that needs no samples
 
 SpeedPolicy = Callable[[ObservedSpeed], EngineSpeed]
 SPEED_POLICIES: Registry[str, SpeedPolicy] = Registry("speed policy")
 
 
-@SPEED_POLICIES.register("uniform")
+@SPEED_POLICIES.register(UNIFORM)
 def assume_uniform(observed: ObservedSpeed) -> EngineSpeed:
     """Take all engines of a service to be equally fast: the baseline."""
     return USUAL_SPEED
@@ -140,13 +141,14 @@
         self.latest.append(Sample(value, now))
 
     def compute_median(self, now: float, default: float) -> Summary:
-        """Return the weighted median, or `default` without samples."""
+        """Return the weighted median, or `default` without samples of any weight."""
         weighed = sorted((s.value, _weigh(s, now)) for s in self.latest)
         total = sum(weight for _, weight in weighed)
         reached = 0.0
         for value, weight in weighed:
             reached += weight
-            if reached >= total / 2:
+            # All weights vanish when the latest sample is very old.
+            if total and reached >= total / 2:
                 return Summary(value, total)
         return Summary(default, 0.0)
 
--- a/packages/geraniumhall-core/tests/test_uneven_engines.py
+++ b/packages/geraniumhall-core/tests/test_uneven_engines.py
@@ -124,6 +124,13 @@
             self.add("slow", 16)
         self.assertEqual(self.learn("slow", 0.0, incarnation=2), USUAL_SPEED)
 
+    def test_quiet_service_keeps_its_usual_rate(self) -> None:
+        """After an hour without answers the last usual rate still holds."""
+        self.learn("e0", 0.0)
+        self.add("e0", 16, at=0.3)
+        self.assertAlmostEqual(self.learn("e0", 3600.0).prefill, 1.0)
+        self.assertAlmostEqual(self.book.find_usual("llm").prefill, 0.8)
+
     def test_failures_are_a_share(self) -> None:
         """An engine that fails half of its requests is expected to go on so."""
         for number in range(12):
