Explain what an engine keeps of a prompt and how fast it is

`geraniumhall explain` shows the kept and fetched tokens, the price of another copy and the speed of the chosen engine from request_placed. Checked: test_explanations.

--- a/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
@@ -182,7 +182,31 @@
         f" {line['own_waiting']} of this host and {line['foreign_waiting']} of others"
         f"{_format_reporters(line)},"
         f" {line['running']} requests running; first event expected within"
-        f" {line['expected']} s"
+        f" {line['expected']} s{_format_kept(line)}{_format_speed(line)}"
+    )
+
+
+def _format_kept(line: Line) -> str:
+    """Return what the engine keeps of the prompt, if the line says so."""
+    if not line.get("kept_tokens"):
+        return ""
+    source = line.get("fetches_from")
+    fetched = f" after a fetch from {source}" if source else ""
+    copy = (
+        f", another copy priced at {line['copy_price']} s" if line["copy_price"] else ""
+    )
+    return f"; keeps {line['kept_tokens']} tokens{fetched}{copy}"
+
+
+def _format_speed(line: Line) -> str:
+    """Return the speed of an engine that differs from the usual one."""
+    speeds = (line.get("read_speed", 1.0), line.get("decode_speed", 1.0))
+    failing = line.get("failing", 0.0)
+    if speeds == (1.0, 1.0) and not failing:
+        return ""
+    return (
+        f"; {speeds[0]} times as fast in prefill and {speeds[1]} in decode as usual,"
+        f" fails {failing} of its requests"
     )
 
 
--- a/packages/geraniumhall-cli/tests/test_explanations.py
+++ b/packages/geraniumhall-cli/tests/test_explanations.py
@@ -165,6 +165,23 @@
         story = explain_request([line], "c3f0")[0].story
         self.assertIn("40 of others (reported by 16 of 78 hosts),", story)
 
+    def test_placement_by_kept_prompt(self) -> None:
+        """The kept tokens, a fetch, the price of a copy and the speed are shown."""
+        line = build_line(
+            1.0,
+            "request_placed",
+            **PLACED,
+            kept_tokens=5400,
+            fetches_from="e2",
+            copy_price=0.02,
+            read_speed=0.7,
+            decode_speed=1.1,
+            failing=0.0,
+        )
+        story = explain_request([line], "c3f0")[0].story
+        self.assertIn("keeps 5400 tokens after a fetch from e2, another copy", story)
+        self.assertIn("0.7 times as fast in prefill and 1.1 in decode", story)
+
     def test_placement_of_an_older_log(self) -> None:
         """A line without the number of reporting hosts is formatted without it."""
         line = build_line(1.0, "request_placed", **PLACED)
