Fetch a beginning only from an engine that has read it

Cause: a beginning counted as held from the moment at which its first prompt was sent, so requests that came shortly after were told to fetch what was not there yet, and read it again. Besides, what a prompt costs other streams was counted as queued tokens.

Change: KeptTokens has what an engine is expected to hold when a request gets there, and what it has held for half a second, which others can fetch. The queued work of a prompt is its prefill alone, as with the other policies. Tested: test_kept_prompts, test_prefixes.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -269,7 +269,7 @@
         cached_tokens=caches.count_cached(name, server.started_at, uses),
         memory_tokens=running_tokens,
         memory_capacity=engine.memory_tokens if engine else 0,
-        kept_tokens=caches.estimate_kept(name, server.started_at, uses, running_tokens),
+        kept=caches.estimate_kept(name, server.started_at, uses, running_tokens, now),
         speed=find_speed(state, name, now),
     )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -84,15 +84,17 @@
 class _Situation:
     """What all engines have in common for one request.
 
-    `source` keeps the most of the shared parts, `available` tokens of them, and
-    `copies` engines hold them. Until one does, `starters` are the engines of each kind
-    to begin with, by rendezvous hashing (Thaler and Ravishankar, 1998); that saves
-    `start_tokens` on average.
+    The shared parts are held by `copies` engines, and `available` tokens of them are
+    held somewhere. `source` is the engine to fetch from, `fetchable` tokens. Until an
+    engine holds all, `starters` are the engines of each kind to begin with, by
+    rendezvous hashing (Thaler and Ravishankar, 1998); that saves `start_tokens` on
+    average.
     """
 
     query: PlanQuery
-    source: EngineView
     available: float
+    source: EngineView
+    fetchable: float
     copies: int
     starters: tuple[str, ...]
     start_tokens: float
@@ -104,16 +106,18 @@
         """Return the situation of a request among groups of engines."""
         engines = [engine for group in groups for engine in group]
         shared = query.shared_prefix_tokens
-        source = max(engines, key=lambda engine: engine.kept_tokens)
-        holders = [e for e in engines if e.kept_tokens >= shared * COPY_FRACTION]
+        source = max(engines, key=lambda engine: engine.kept.settled)
+        most = max(engine.kept.held for engine in engines)
+        holders = [e for e in engines if e.kept.held >= shared * COPY_FRACTION]
         starters: tuple[str, ...] = ()
         if shared and not holders:
             starters = tuple(_find_starter(group, query) for group in groups if group)
         others = query.shared_use_rate * TELLING_SECONDS
         return cls(
             query=query,
+            available=min(most, shared),
             source=source,
-            available=min(source.kept_tokens, shared),
+            fetchable=min(source.kept.settled, shared),
             copies=len(holders) if shared else 0,
             starters=starters,
             start_tokens=shared * (1 - exp(-others)),
@@ -196,13 +200,13 @@
 
 
 def _can_fetch(candidate: _Candidate, situation: _Situation) -> bool:
-    missing = situation.available - candidate.engine.kept_tokens
+    missing = situation.fetchable - candidate.engine.kept.held
     return missing >= MIN_FETCH_TOKENS and candidate.engine is not situation.source
 
 
 def _weigh_reading(candidate: _Candidate, situation: _Situation) -> Option:
     """Return the option that an engine reads all that it does not keep."""
-    kept = candidate.engine.kept_tokens
+    kept = candidate.engine.kept.held
     if candidate.engine.name in situation.starters:
         kept = max(kept, situation.start_tokens)
     copy_work = max(0.0, situation.available - kept) / candidate.rate
@@ -212,13 +216,13 @@
 def _weigh_fetching(candidate: _Candidate, situation: _Situation) -> Option:
     """Return the option that an engine fetches the shared parts from the source."""
     query, source = situation.query, situation.source
-    missing = situation.available - candidate.engine.kept_tokens
+    missing = situation.fetchable - candidate.engine.kept.held
     seconds = missing / query.kv_transfer_rate
     if not (candidate.engine.is_local and source.is_local):
         seconds *= CROSS_DOMAIN_TRANSFER_FACTOR
     seconds += KV_TRANSFER_OVERHEAD_SECONDS
     later = candidate.later + seconds
-    option = _weigh(candidate, situation, situation.available, later, seconds)
+    option = _weigh(candidate, situation, situation.fetchable, later, seconds)
     return attrs.evolve(
         option, plan=attrs.evolve(option.plan, fetches_from=source.name)
     )
@@ -238,7 +242,8 @@
     shared parts takes `copy_work` seconds, of the prefill if the engine `rereads` them.
     """
     engine, query = candidate.engine, situation.query
-    read = estimate_read_cost(query.prompt_tokens, int(kept)) * candidate.read_factor
+    read_tokens = estimate_read_cost(query.prompt_tokens, int(kept))
+    read = read_tokens * candidate.read_factor
     pending = engine.queued_prefill_tokens + read
     network = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
     delay = later + network
@@ -249,7 +254,7 @@
     mixing = 1.0 if candidate.is_prefill_only else MIXED_PREFILL_RATE_FACTOR
     plan = Plan(
         server=engine.name,
-        prefill_tokens=int(read),
+        prefill_tokens=read_tokens,
         pending_prefill=pending / mixing,
         kept_tokens=kept,
         copy_seconds=copy_seconds,
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -22,6 +22,7 @@
 from xxhash import xxh64_intdigest
 
 from geraniumhall_core.orders import ServerRole
+from geraniumhall_core.prefixes import NOTHING_KEPT, KeptTokens
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.speeds import USUAL_SPEED, EngineSpeed
 
@@ -54,7 +55,7 @@
     `requests` are in progress. `is_local` is true if the engine is in the host's
     failure domain. `cached_tokens` of the prompt are assumed in its prefix cache.
     The requests in progress take `memory_tokens` of its `memory_capacity`, also in
-    tokens; with a capacity of zero its memory never counts as full. `kept_tokens` are
+    tokens; with a capacity of zero its memory never counts as full. `kept` is
     expected in its cache if parts that may have yielded to others count less. `speed`
     is relative to the usual speed of its service.
     """
@@ -68,7 +69,7 @@
     cached_tokens: int = 0
     memory_tokens: float = 0
     memory_capacity: int = 0
-    kept_tokens: float = 0.0
+    kept: KeptTokens = NOTHING_KEPT
     speed: EngineSpeed = USUAL_SPEED
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/prefixes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/prefixes.py
@@ -22,6 +22,8 @@
 
 BLOCK_TOKENS = 16  # the least memory that an engine uses for a part
 USE_HALF_LIFE_SECONDS = 5.0  # of a use of a shared part, in the rate of its uses
+# Until then an engine may still be reading a part, or have exported it.
+SETTLED_AFTER_SECONDS = 0.5
 MIN_USES = 0.05  # a part with fewer recent uses counts as not used
 
 
@@ -46,13 +48,28 @@
     parts: tuple[PartUse, ...]
 
 
+@attrs.frozen
+class KeptTokens:
+    """The expected tokens of a prompt's leading parts that an engine still holds.
+
+    `settled` are those that it has held for so long that others can fetch them.
+    """
+
+    held: float = 0.0
+    settled: float = 0.0
+
+
+NOTHING_KEPT = KeptTokens()
+
+
 @attrs.define
 class EngineCache:
     """The parts that one incarnation of an engine is assumed to hold.
 
     `tokens_by_key` is in order of use, the least recent first. It holds at most
     `capacity` tokens. `added_tokens` counts the tokens of all uses, and `marks` has its
-    value as of the last use of each part.
+    value as of the last use of each part. `first_uses` has the time of the first use of
+    each part, in seconds on the host's clock.
     """
 
     incarnation: int
@@ -61,8 +78,9 @@
     used_tokens: int = 0
     added_tokens: int = 0
     marks: dict[int, int] = attrs.field(factory=dict)
+    first_uses: dict[int, float] = attrs.field(factory=dict)
 
-    def add_use(self, parts: Sequence[PartUse]) -> None:
+    def add_use(self, parts: Sequence[PartUse], now: float = 0.0) -> None:
         """Record that the engine prefills a prompt, and drop what no longer fits."""
         for part in parts:
             tokens = max(part.tokens, BLOCK_TOKENS)
@@ -70,9 +88,10 @@
             self.tokens_by_key[part.key] = tokens
             self.added_tokens += tokens
             self.marks[part.key] = self.added_tokens
+            self.first_uses.setdefault(part.key, now)
         while self.used_tokens > self.capacity:
             key, tokens = self.tokens_by_key.popitem(last=False)
-            del self.marks[key]
+            del self.marks[key], self.first_uses[key]
             self.used_tokens -= tokens
 
     def count_cached(self, parts: Sequence[PartUse]) -> int:
@@ -84,12 +103,15 @@
             total += part.tokens
         return total
 
-    def estimate_kept(self, parts: Sequence[PartUse], running_tokens: float) -> float:
-        """Return the expected tokens of a prompt's leading parts that it still holds.
+    def estimate_kept(
+        self, parts: Sequence[PartUse], running_tokens: float, now: float = 0.0
+    ) -> KeptTokens:
+        """Return what the engine is expected to hold of a prompt's leading parts.
 
         Running requests take `running_tokens` of its memory.
         """
-        total, chance = 0.0, 1.0
+        held, settled, chance = 0.0, 0.0, 1.0
+        is_settled = True
         for part in parts:
             mark = self.marks.get(part.key)
             if mark is None:
@@ -100,8 +122,11 @@
                 least = max(running_tokens, newer)
                 left = max(0.0, self.capacity - least) / (needed - least)
                 chance = min(chance, left)
-            total += part.tokens * chance
-        return total
+            held += part.tokens * chance
+            age = now - self.first_uses[part.key]
+            is_settled = is_settled and age >= SETTLED_AFTER_SECONDS
+            settled += part.tokens * chance * is_settled
+        return KeptTokens(held, settled)
 
 
 @attrs.define
@@ -147,7 +172,7 @@
         if cache is None or cache.incarnation != incarnation:
             cache = EngineCache(incarnation, capacity)
             self.engines[use.server] = cache
-        cache.add_use(use.parts)
+        cache.add_use(use.parts, now)
 
     def count_cached(
         self, server: str, incarnation: int, parts: Sequence[PartUse]
@@ -164,12 +189,13 @@
         incarnation: int,
         parts: Sequence[PartUse],
         running_tokens: float,
-    ) -> float:
-        """Return the expected tokens of leading parts that an engine still holds."""
+        now: float = 0.0,
+    ) -> KeptTokens:
+        """Return what an engine is expected to hold of a prompt's leading parts."""
         cache = self.engines.get(server)
         if cache is None or cache.incarnation != incarnation:
-            return 0.0
-        return cache.estimate_kept(parts, running_tokens)
+            return NOTHING_KEPT
+        return cache.estimate_kept(parts, running_tokens, now)
 
     def compute_use_rate(self, parts: Sequence[PartUse], now: float) -> float:
         """Return how often a prompt's last shared part is used, in uses a second."""
