Count a likely miss of an objective the same for short and long ones

Cause: beyond 0.6 of the objective a wait counted 2.5 times, so a short objective was given up for little, and engines that stall for 0.15 of the time, 2.5 times slower, missed plans that were thought safe.

Change: the likelihood of a miss rises with its square from 0.4 of the objective to the objective itself, and counts for one second of waiting, for first events and for pauses. Tested: test_kept_prompts, test_uneven_engines.

--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -7,7 +7,7 @@
 - the time to the first event, from the engine's queue, its learned speed, its running
   requests and memory, and the part of the prompt that it is not expected to keep,
 - the time of engines that the request takes, also for moving its KV cache,
-- what is late if the first event comes after the objective,
+- how likely the first event comes after the objective, and how late,
 - the streams that the engine generates and that the prefill makes pause for too long,
 - the price of another copy of the shared beginning, if a different engine keeps it.
 
@@ -27,15 +27,15 @@
 from geraniumhall_core.planning import (
     CROSS_DOMAIN_LATENCY_SECONDS,
     KV_TRANSFER_OVERHEAD_SECONDS,
-    LATE_STREAM_SECONDS,
+    LATE_ANSWER_SECONDS,
     MIXED_PREFILL_RATE_FACTOR,
     PLANNING_POLICIES,
     PREFILL_INTERFERENCE_FACTOR,
-    SAFE_OBJECTIVE_FRACTION,
     EngineView,
     Plan,
     PlanQuery,
     choose_earliest,
+    estimate_lateness,
     estimate_loss,
     estimate_read_cost,
     estimate_running_delay,
@@ -45,7 +45,6 @@
 # A caller who waits within the objective loses less than one whose engine's time is
 # taken by others: the answer earns the same, while that time is gone.
 WAIT_WEIGHT = 0.5
-LATE_WEIGHT = 2.0
 # Engines keep a part for some seconds, in which a copy may serve other requests.
 RETENTION_SECONDS = 10.0
 # Until hosts have heard of a copy, they would each begin one.
@@ -272,15 +271,15 @@
     """Return the price of a first event after `seconds`."""
     if query.objective is None:
         return seconds
-    late = max(0.0, seconds - query.objective * SAFE_OBJECTIVE_FRACTION)
-    return seconds * WAIT_WEIGHT + late * LATE_WEIGHT
+    late = estimate_lateness(seconds, query.objective) * LATE_ANSWER_SECONDS
+    return seconds * WAIT_WEIGHT + late + max(0.0, seconds - query.objective)
 
 
 def _price_pauses(engine: EngineView, read: float, query: PlanQuery) -> float:
     """Return the price of pauses that a prefill causes in the engine's streams."""
     pace = query.pace
     more_late = pace.estimate_lateness(engine, read) - pace.estimate_lateness(engine)
-    return engine.requests * more_late * LATE_STREAM_SECONDS
+    return engine.requests * more_late * LATE_ANSWER_SECONDS
 
 
 def _price_copy(engine: EngineView, situation: _Situation, copy_work: float) -> float:
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -37,12 +37,11 @@
 USABLE_MEMORY_FRACTION = 0.85  # the rest is for work that is not reported yet
 # Each running request adds this fraction to the cost of prefill on its engine.
 PREFILL_INTERFERENCE_FACTOR = 0.05
-# What a caller waits longer if the engine fails the request, or slows its stream to
-# pauses over the objective, which makes the answer late.
+# What failures of the engine and answers over an objective count for, as a wait.
 FAILED_ATTEMPT_SECONDS = 1.0
-LATE_STREAM_SECONDS = 1.0
-# Estimates err by some tenths of an objective, so that the rest is kept free.
-SAFE_OBJECTIVE_FRACTION = 0.6
+LATE_ANSWER_SECONDS = 1.0
+# Up to this part of an objective, an answer is in time though its engine stalls.
+SAFE_OBJECTIVE_FRACTION = 0.4
 # Prefill of a token behind this many others costs twice that of the first token.
 ATTENTION_DOUBLING_TOKENS = 74_000
 
@@ -89,17 +88,14 @@
     def estimate_lateness(self, engine: EngineView, more_tokens: float = 0.0) -> float:
         """Return how likely streams of an engine pause for too long.
 
-        It prefills `more_tokens` besides those that are queued there. Pauses are
-        expected with an error of some tenths, so that the likelihood rises from zero
-        at `SAFE_OBJECTIVE_FRACTION` of the objective to one at the objective.
+        It prefills `more_tokens` besides those that are queued there.
         """
         if self.gap_objective is None or not self.event_seconds:
             return 0.0
         rate = self.mixed_prefill_rate * engine.speed.prefill
         pause = self.event_seconds / engine.speed.decode
         pause += (engine.queued_prefill_tokens + more_tokens) / rate
-        safe = self.gap_objective * SAFE_OBJECTIVE_FRACTION
-        return min(1.0, max(0.0, (pause - safe) / (self.gap_objective - safe)))
+        return estimate_lateness(pause, self.gap_objective)
 
 
 USUAL_PACE = StreamPace()
@@ -331,10 +327,24 @@
 def estimate_stream_delay(engine: EngineView, pace: StreamPace) -> float:
     """Return what a stream loses by the engine's pace and failures, in seconds."""
     delay = pace.event_seconds / engine.speed.decode - pace.event_seconds
-    delay += pace.estimate_lateness(engine) * LATE_STREAM_SECONDS
+    delay += pace.estimate_lateness(engine) * LATE_ANSWER_SECONDS
     return delay + estimate_loss(engine)
 
 
+def estimate_lateness(seconds: float, objective: float) -> float:
+    """Return how likely something that is expected to take so long is late.
+
+    Engines stall now and then, so the likelihood rises from zero at
+    `SAFE_OBJECTIVE_FRACTION` of the objective, slowly at first, to one at all of it.
+    """
+    safe = objective * SAFE_OBJECTIVE_FRACTION
+    if seconds <= safe:
+        return 0.0
+    if seconds >= objective:
+        return 1.0
+    return ((seconds - safe) / (objective - safe)) ** 2
+
+
 def estimate_loss(engine: EngineView) -> float:
     """Return the expected delay of a request by failures of the engine, in seconds."""
     return engine.speed.failing * FAILED_ATTEMPT_SECONDS
