--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -6,8 +6,8 @@
 
 - the time to the first event, from the engine's queue, its learned speed, its running
   requests and memory, and the part of the prompt that it is not expected to keep,
-- the time of engines that the request takes,
-- what is late if the first event comes after the objective,
+- the time of engines that the request takes, also for moving its KV cache,
+- how likely the first event comes after the objective, and how late,
 - the streams that the engine generates and that the prefill makes pause for too long,
 - the price of another copy of the shared beginning, if a different engine keeps it.
 
@@ -27,15 +27,15 @@
 from geraniumhall_core.planning import (
     CROSS_DOMAIN_LATENCY_SECONDS,
     KV_TRANSFER_OVERHEAD_SECONDS,
-    LATE_STREAM_SECONDS,
+    LATE_ANSWER_SECONDS,
     MIXED_PREFILL_RATE_FACTOR,
     PLANNING_POLICIES,
     PREFILL_INTERFERENCE_FACTOR,
-    SAFE_OBJECTIVE_FRACTION,
     EngineView,
     Plan,
     PlanQuery,
     choose_earliest,
+    estimate_lateness,
     estimate_loss,
     estimate_read_cost,
     estimate_running_delay,
@@ -45,7 +45,6 @@
 # A caller who waits within the objective loses less than one whose engine's time is
 # taken by others: the answer earns the same, while that time is gone.
 WAIT_WEIGHT = 0.5
-LATE_WEIGHT = 2.0
 # Engines keep a part for some seconds, in which a copy may serve other requests.
 RETENTION_SECONDS = 10.0
 # Until hosts have heard of a copy, they would each begin one.
@@ -84,15 +83,17 @@
 class _Situation:
     """What all engines have in common for one request.
 
-    `source` keeps the most of the shared parts, `available` tokens of them, and
-    `copies` engines hold them. Until one does, `starters` are the engines of each kind
-    to begin with, by rendezvous hashing (Thaler and Ravishankar, 1998); that saves
-    `start_tokens` on average.
+    The shared parts are held by `copies` engines, and `available` tokens of them are
+    held somewhere. `source` is the engine to fetch from, `fetchable` tokens. Until an
+    engine holds all, `starters` are the engines of each kind to begin with, by
+    rendezvous hashing (Thaler and Ravishankar, 1998); that saves `start_tokens` on
+    average.
     """
 
     query: PlanQuery
-    source: EngineView
     available: float
+    source: EngineView
+    fetchable: float
     copies: int
     starters: tuple[str, ...]
     start_tokens: float
@@ -104,16 +105,18 @@
         """Return the situation of a request among groups of engines."""
         engines = [engine for group in groups for engine in group]
         shared = query.shared_prefix_tokens
-        source = max(engines, key=lambda engine: engine.kept_tokens)
-        holders = [e for e in engines if e.kept_tokens >= shared * COPY_FRACTION]
+        source = max(engines, key=lambda engine: engine.kept.settled)
+        most = max(engine.kept.held for engine in engines)
+        holders = [e for e in engines if e.kept.held >= shared * COPY_FRACTION]
         starters: tuple[str, ...] = ()
         if shared and not holders:
             starters = tuple(_find_starter(group, query) for group in groups if group)
         others = query.shared_use_rate * TELLING_SECONDS
         return cls(
             query=query,
+            available=min(most, shared),
             source=source,
-            available=min(source.kept_tokens, shared),
+            fetchable=min(source.kept.settled, shared),
             copies=len(holders) if shared else 0,
             starters=starters,
             start_tokens=shared * (1 - exp(-others)),
@@ -124,28 +127,39 @@
 class _Candidate:
     """An engine that may get the request.
 
-    Its prefill is followed by `later` seconds until the first event. `rate` is that of
-    prefill there in tokens a second, and `read_factor` what the streams that it
-    generates add to the cost of a token.
+    Its prefill is followed by `later` seconds until the first event, of which a
+    transfer of the KV cache takes `transfer`. `rate` is that of prefill there in tokens
+    a second, and `read_factor` what the streams that it generates add to the cost of a
+    token.
     """
 
     engine: EngineView
     is_prefill_only: bool
     later: float
+    transfer: float
     rate: float
     read_factor: float
 
     @classmethod
     def from_engine(
-        cls, engine: EngineView, query: PlanQuery, is_prefill_only: bool, later: float
+        cls,
+        engine: EngineView,
+        query: PlanQuery,
+        decode_delay: float,
+        is_prefill_only: bool,
     ) -> "_Candidate":
         """Return the candidate for a prefill only, or for the whole request."""
+        transfer = 0.0
+        if is_prefill_only:
+            transfer = KV_TRANSFER_OVERHEAD_SECONDS
+            transfer += query.prompt_tokens / query.kv_transfer_rate
         rate = query.prefill_rate * engine.speed.prefill
         interference = engine.requests * PREFILL_INTERFERENCE_FACTOR
         return cls(
             engine=engine,
             is_prefill_only=is_prefill_only,
-            later=later,
+            later=transfer + decode_delay,
+            transfer=transfer,
             rate=rate if is_prefill_only else rate * MIXED_PREFILL_RATE_FACTOR,
             read_factor=1.0 if is_prefill_only else 1.0 + interference,
         )
@@ -166,15 +180,12 @@
     prefill_engines = [e for e in engines if e.role is ServerRole.PREFILL]
     situation = _Situation.from_engines((prefill_engines, decode_engines), query)
     decode_delays = [_estimate_decode_delay(e, query) for e in decode_engines]
-    transfer = (
-        KV_TRANSFER_OVERHEAD_SECONDS + query.prompt_tokens / query.kv_transfer_rate
-    )
     candidates = [
-        _Candidate.from_engine(engine, query, True, transfer + min(decode_delays))
+        _Candidate.from_engine(engine, query, min(decode_delays), True)
         for engine in prefill_engines
     ]
     candidates += [
-        _Candidate.from_engine(engine, query, False, delay)
+        _Candidate.from_engine(engine, query, delay, False)
         for engine, delay in zip(decode_engines, decode_delays, strict=True)
     ]
     options = [_weigh_reading(candidate, situation) for candidate in candidates]
@@ -188,13 +199,13 @@
 
 
 def _can_fetch(candidate: _Candidate, situation: _Situation) -> bool:
-    missing = situation.available - candidate.engine.kept_tokens
+    missing = situation.fetchable - candidate.engine.kept.held
     return missing >= MIN_FETCH_TOKENS and candidate.engine is not situation.source
 
 
 def _weigh_reading(candidate: _Candidate, situation: _Situation) -> Option:
     """Return the option that an engine reads all that it does not keep."""
-    kept = candidate.engine.kept_tokens
+    kept = candidate.engine.kept.held
     if candidate.engine.name in situation.starters:
         kept = max(kept, situation.start_tokens)
     copy_work = max(0.0, situation.available - kept) / candidate.rate
@@ -204,13 +215,13 @@
 def _weigh_fetching(candidate: _Candidate, situation: _Situation) -> Option:
     """Return the option that an engine fetches the shared parts from the source."""
     query, source = situation.query, situation.source
-    missing = situation.available - candidate.engine.kept_tokens
+    missing = situation.fetchable - candidate.engine.kept.held
     seconds = missing / query.kv_transfer_rate
     if not (candidate.engine.is_local and source.is_local):
         seconds *= CROSS_DOMAIN_TRANSFER_FACTOR
     seconds += KV_TRANSFER_OVERHEAD_SECONDS
     later = candidate.later + seconds
-    option = _weigh(candidate, situation, situation.available, later, seconds)
+    option = _weigh(candidate, situation, situation.fetchable, later, seconds)
     return attrs.evolve(
         option, plan=attrs.evolve(option.plan, fetches_from=source.name)
     )
@@ -230,7 +241,8 @@
     shared parts takes `copy_work` seconds, of the prefill if the engine `rereads` them.
     """
     engine, query = candidate.engine, situation.query
-    read = estimate_read_cost(query.prompt_tokens, int(kept)) * candidate.read_factor
+    read_tokens = estimate_read_cost(query.prompt_tokens, int(kept))
+    read = read_tokens * candidate.read_factor
     pending = engine.queued_prefill_tokens + read
     network = 0.0 if engine.is_local else CROSS_DOMAIN_LATENCY_SECONDS
     delay = later + network
@@ -241,7 +253,7 @@
     mixing = 1.0 if candidate.is_prefill_only else MIXED_PREFILL_RATE_FACTOR
     plan = Plan(
         server=engine.name,
-        prefill_tokens=int(read),
+        prefill_tokens=read_tokens,
         pending_prefill=pending / mixing,
         kept_tokens=kept,
         copy_seconds=copy_seconds,
@@ -249,7 +261,7 @@
         is_prefill_only=candidate.is_prefill_only,
     )
     work = read / candidate.rate - (copy_work if rereads else 0.0)
-    price = _price_wait(expected, query) + work + copy_seconds
+    price = _price_wait(expected, query) + work + candidate.transfer + copy_seconds
     if not candidate.is_prefill_only:
         price += _price_pauses(engine, read, query)
     return Option(plan=plan, price=price)
@@ -259,15 +271,15 @@
     """Return the price of a first event after `seconds`."""
     if query.objective is None:
         return seconds
-    late = max(0.0, seconds - query.objective * SAFE_OBJECTIVE_FRACTION)
-    return seconds * WAIT_WEIGHT + late * LATE_WEIGHT
+    late = estimate_lateness(seconds, query.objective) * LATE_ANSWER_SECONDS
+    return seconds * WAIT_WEIGHT + late + max(0.0, seconds - query.objective)
 
 
 def _price_pauses(engine: EngineView, read: float, query: PlanQuery) -> float:
     """Return the price of pauses that a prefill causes in the engine's streams."""
     pace = query.pace
     more_late = pace.estimate_lateness(engine, read) - pace.estimate_lateness(engine)
-    return engine.requests * more_late * LATE_STREAM_SECONDS
+    return engine.requests * more_late * LATE_ANSWER_SECONDS
 
 
 def _price_copy(engine: EngineView, situation: _Situation, copy_work: float) -> float:
