Decide on admission by the time that an answer would take

Cause: a host refused only what found its queue full, told everybody to come back after 0.5 s, and sent again to a server that had just said that it is full; priorities ordered nothing among what waits, and all hosts chose the same free server.

Change: four registered policies, off by default. in_time refuses what would end after its deadline at a busy server and lets a request wait for room for an eighth of its objective; drawn_share gives each host a drawn share of a server's last free slots; time_and_size ranks requests by priority, objective, size and repeats, on the host and in the engines' queues; as_room_frees spreads those who come back. What an answer takes is learned from the host's own answers. WatchHold and HoldEnded end a wait on time.

Ruled out: a queue that hosts share, refusing by the objective, and clearing a refusal by any later answer; docs/design/admission.md says why.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
@@ -27,11 +27,13 @@
     SendOrder,
     SendToPeers,
     StopListening,
+    WatchHold,
     WriteDump,
     WriteLog,
 )
 from geraniumhall_core.events import (
     AttemptEnded,
+    HoldEnded,
     PlatformAnswered,
     ResponseStarted,
     ServerProbed,
@@ -178,6 +180,22 @@
     cluster.call_later(effect.delay, answer_probe)
 
 
+@SIMULATION_PERFORMERS.performs(WatchHold)
+def watch_hold(context: PerformerContext, effect: WatchHold) -> None:
+    """Tell the daemon that a request has waited long enough."""
+    cluster, daemon = context
+
+    def end_hold() -> None:
+        cluster.dispatch(
+            daemon,
+            lambda at: HoldEnded(
+                at=at, request_id=effect.request_id, draws=cluster.draw()
+            ),
+        )
+
+    cluster.call_later(effect.seconds, end_hold)
+
+
 @SIMULATION_PERFORMERS.performs(SendOrder)
 def send_order(context: PerformerContext, effect: SendOrder) -> None:
     """Send an order to a backend server after `order_latency`.
--- a/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
@@ -107,6 +107,18 @@
     return f"refused, {line['code']}: {line['reason']}; catalogue age {age} s"
 
 
+@EVENT_FORMATTERS.register("admission_decided")
+def format_admission(line: Line) -> str:
+    """Format why a request waited for room or was refused for lack of it."""
+    decided = "waits for room" if line["outcome"] == "wait" else "refused, no room"
+    return (
+        f"{decided}: room in {line['room_in']} s, the first event {line['first_in']} s"
+        f" and the last {line['last_in']} s after it is sent, {line['time_left']} s"
+        f" left; {line['running']} requests run on {line['server']}, by the reports of"
+        f" {line['reporting_hosts']} of {line['other_hosts']} other hosts"
+    )
+
+
 @EVENT_FORMATTERS.register("crash_attributed")
 def format_crash(line: Line) -> str:
     """Format which parts of the prompt a crash is held against."""
--- a/packages/geraniumhall-cli/tests/test_explanations.py
+++ b/packages/geraniumhall-cli/tests/test_explanations.py
@@ -112,6 +112,27 @@
         self.assertIn("e3 wants nothing of this host for 1.5 s", stories[2])
         self.assertIn("refused, servers_restricted", stories[3])
 
+    def test_refusal_for_lack_of_room_is_explained(self) -> None:
+        """The estimate and the reports that it rests on stand beside the refusal."""
+        decided = build_line(
+            10.0,
+            "admission_decided",
+            request="h1-9",
+            caller_id="c9",
+            outcome="refuse",
+            server="e1",
+            room_in=0.0,
+            first_in=2.1,
+            last_in=4.3,
+            time_left=3.9,
+            running=70,
+            reporting_hosts=16,
+            other_hosts=79,
+        )
+        story = explain_request([decided], "c9")[0].story
+        self.assertIn("the last 4.3 s after it is sent, 3.9 s left", story)
+        self.assertIn("the reports of 16 of 79 other hosts", story)
+
     def test_lines_come_in_order(self) -> None:
         """Events are sorted by time, whatever their order in the log."""
         timeline = explain_request([GIVEN_UP, FAILED], "c3f0")
--- a/packages/geraniumhall-core/src/geraniumhall_core/effects.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/effects.py
@@ -141,6 +141,14 @@
     timeout: float
 
 
+@attrs.frozen(kw_only=True)
+class WatchHold(Effect):
+    """Dispatch `HoldEnded` for a request after `seconds`."""
+
+    request_id: str
+    seconds: float
+
+
 @attrs.frozen(kw_only=True)
 class ProbeServer(Effect):
     """Try a new connection to a backend server, and close it without a request.
--- a/packages/geraniumhall-core/src/geraniumhall_core/events.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/events.py
@@ -162,6 +162,14 @@
     draws: tuple[float, float]
 
 
+@attrs.frozen(kw_only=True)
+class HoldEnded(Event):
+    """The time for which a request may wait for room is over."""
+
+    request_id: str
+    draws: tuple[float, float]
+
+
 @attrs.frozen(kw_only=True)
 class DrainRequested(Event):
     """A drain was requested by signal."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/fairness.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/fairness.py
@@ -8,11 +8,50 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
 from geraniumhall_core.catalogue import EntryLimits
 
+FAIR_TURN = 4  # each fourth turn goes by the workspaces' service, not by rank
+
+
+@attrs.define
+class RoomQueue:
+    """Requests that wait on one host for room at the servers of a service.
+
+    `workspaces` has the workspace of each waiting request, in order of arrival, and
+    `placed` the number of requests of each workspace that have got room.
+    """
+
+    workspaces: dict[str, str] = attrs.field(factory=dict)
+    placed: dict[str, int] = attrs.field(factory=dict)
+    turns: int = 0
+
+    def order_requests(self, rank: Callable[[str], float]) -> list[str]:
+        """Return the waiting requests, the next one first.
+
+        They go by rank, and by arrival where that is equal. Each fourth turn belongs
+        to the oldest request of the workspace that has got room least often, whatever
+        its rank, so that no workspace, size or kind of request is left waiting.
+        """
+        ranked = sorted(self.workspaces, key=rank)
+        if ranked and self.turns % FAIR_TURN == FAIR_TURN - 1:
+            oldest = min(
+                self.workspaces,
+                key=lambda name: self.placed.get(self.workspaces[name], 0),
+            )
+            ranked.remove(oldest)
+            ranked.insert(0, oldest)
+        return ranked
+
+    def count_placed(self, request_id: str) -> None:
+        """Count a request that gets room."""
+        workspace = self.workspaces[request_id]
+        self.placed[workspace] = self.placed.get(workspace, 0) + 1
+        self.turns += 1
+
 
 @attrs.define
 class EntryQueue:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -118,7 +118,7 @@
         queue = state.get_queue(record.entry)
         queue.remove_waiting(record.workspace, event.request_id)
         refund_cost(state, record)
-    elif record.phase is Phase.ASKING:
+    elif record.phase in (Phase.ASKING, Phase.HELD):
         refund_cost(state, record)
     state.counters["requests.abandoned"] += 1
     state.counters["requests.abandoned_unsent"] += not record.attempts
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -11,8 +11,14 @@
     RefuseRequest,
     RelayRequest,
     ReleaseKvCache,
+    WatchHold,
+)
+from geraniumhall_core.events import (
+    AttemptEnded,
+    HoldEnded,
+    PrefillEnded,
+    ResponseStarted,
 )
-from geraniumhall_core.events import AttemptEnded, PrefillEnded, ResponseStarted
 from geraniumhall_core.handlers.access import describe_closed, take_request
 from geraniumhall_core.handlers.accounting import (
     charge_workspace,
@@ -39,6 +45,7 @@
 from geraniumhall_core.handlers.reports import report_load
 from geraniumhall_core.handlers.request_logs import (
     log_abandoned,
+    log_admission,
     log_attempt_failed,
     log_failure,
     log_placement,
@@ -49,21 +56,41 @@
     can_retry_error,
     may_retry,
 )
+from geraniumhall_core.handlers.room import (
+    build_query,
+    compute_return_seconds,
+    count_refusal,
+    learn_answer,
+    learn_first,
+    note_outcome,
+    observe_arrival,
+    plan_answer,
+    rank_request,
+)
 from geraniumhall_core.handlers.speeds import observe_attempt, observe_first_event
+from geraniumhall_core.overload import (
+    ADMISSION_POLICIES,
+    AdmissionQuery,
+    AdmissionVerdict,
+)
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.refusals import (
     DEADLINE_EXCEEDED,
     DRAINING,
     NO_SERVER,
+    OVERLOADED,
     SERVERS_RESTRICTED,
     UPSTREAM_FAILED,
     Refusal,
 )
 from geraniumhall_core.requests import AttemptOutcome, KvCacheRef, Phase, RequestRecord
+from geraniumhall_core.returns import RETURN_POLICIES
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
-RETRY_AFTER_SECONDS = 0.5
+# Phases of requests that have left their entry's queue.
+PLACED_PHASES = (Phase.ASKING, Phase.HELD, Phase.PREFILL, Phase.RUNNING)
+MAX_TRIED = 4  # waiting requests for which room is looked for at one event
 
 
 @REDUCER.handles(ResponseStarted)
@@ -79,6 +106,8 @@
     if record is not None and record.attempt_id == event.attempt_id:
         record.response_started = True
         record.began_at = event.at
+        learn_first(state, record, event.at)
+        state.get_load(record.server).record_room(record.sent_at)
         _finish_prefill(state, record)
         observe_first_event(state, record, event.at)
         count_request(state, record, event.wall_time)
@@ -97,6 +126,7 @@
         return
     _release_server(state, record, event.at, event.outcome)
     observe_attempt(state, record, event)
+    note_outcome(state, record, event.outcome, event.at)
     if event.outcome is AttemptOutcome.COMPLETED:
         record.kv_cache = event.kv_cache
         yield log_progress("prompt_read", record, event.at)
@@ -105,8 +135,11 @@
         state.counters["attempts.retried"] += 1
         yield from _start_attempt(state, record, event.at, event.draws)
     else:
-        yield from _fail_request(state, record, event.outcome, event.reason, event.at)
+        yield from _fail_request(
+            state, record, event.outcome, event.reason, event.at, event.draws
+        )
     yield from dispatch_waiting(state, record.entry, event.at, event.draws)
+    yield from place_waiting(state, record.service, event.at, event.draws)
     yield from report_load(state, event.at)
 
 
@@ -121,10 +154,14 @@
     record.runs += event.verdict is not Verdict.NOT_RUN
     _release_server(state, record, event.at, event.outcome)
     observe_attempt(state, record, event)
+    note_outcome(state, record, event.outcome, event.at)
+    if event.outcome in (AttemptOutcome.COMPLETED, AttemptOutcome.TIMED_OUT):
+        learn_first(state, record, event.at)
     if event.outcome is AttemptOutcome.BROKEN:
         yield from examine_break(state, record, event.at)
     if event.outcome is AttemptOutcome.COMPLETED:
         state.counters["requests.completed"] += 1
+        learn_answer(state, record, event.generated_tokens, event.at)
         record.began_at = record.sent_at if record.began_at is None else record.began_at
         yield from prove_parts(state, record, event.at)
         count_tokens(state, record, event)
@@ -143,11 +180,38 @@
         record.is_probing = False
         count_tokens(state, record, event)
         yield from _release_kv_cache(state, record, event.verdict, event.at)
-        yield from _fail_request(state, record, event.outcome, event.reason, event.at)
+        yield from _fail_request(
+            state, record, event.outcome, event.reason, event.at, event.draws
+        )
     yield from dispatch_waiting(state, record.entry, event.at, event.draws)
+    yield from place_waiting(state, record.service, event.at, event.draws)
     yield from report_load(state, event.at)
 
 
+@REDUCER.handles(HoldEnded)
+def end_hold(state: DaemonState, event: HoldEnded) -> Iterator[Effect]:
+    """Place a request that has waited for room as long as it may, or refuse it."""
+    record = state.requests.get(event.request_id)
+    if record is not None and record.phase is Phase.HELD:
+        yield from _start_attempt(state, record, event.at, event.draws)
+        yield from dispatch_waiting(state, record.entry, event.at, event.draws)
+
+
+def place_waiting(
+    state: DaemonState, service: str, now: float, draws: tuple[float, float]
+) -> Iterator[Effect]:
+    """Look for room for the requests that wait for it, the most urgent first."""
+    queue = state.overload.waiting.get(service)
+    if queue is None or not queue.workspaces:
+        return
+
+    def rank(request_id: str) -> float:
+        return rank_request(state, state.requests[request_id], now)
+
+    for request_id in queue.order_requests(rank)[:MAX_TRIED]:
+        yield from _start_attempt(state, state.requests[request_id], now, draws)
+
+
 def enqueue_request(
     state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
@@ -155,6 +219,7 @@
     record.phase = Phase.QUEUED
     state.get_retry_budget(record.service).earn()
     state.restrictions.record_prompt(record.service, record.request.prompt_tokens)
+    observe_arrival(state, record, now)
     queue = state.get_queue(record.entry)
     queue.add_waiting(record.workspace, record.request.request_id)
     yield from dispatch_waiting(state, record.entry, now, draws)
@@ -185,8 +250,9 @@
 def end_request(state: DaemonState, record: RequestRecord) -> None:
     """Remove a request and free its concurrency slot."""
     del state.requests[record.request.request_id]
-    if record.phase in (Phase.ASKING, Phase.PREFILL, Phase.RUNNING):
+    if record.phase in PLACED_PHASES:
         state.get_queue(record.entry).running -= 1
+    state.overload.stop_waiting(record.service, record.request.request_id)
 
 
 def retry_after_probe(
@@ -260,6 +326,15 @@
     if placement is None:
         yield from _wait_or_refuse(state, record, now, draws)
         return
+    record.planned = plan_answer(state, placement.server, placement.expected_seconds)
+    query = build_query(state, record, placement.server, now)
+    verdict = ADMISSION_POLICIES.find(state.policy.admission)(query)
+    if verdict is not AdmissionVerdict.ADMIT and record.verdict is Verdict.NOT_RUN:
+        yield from _hold_or_refuse(state, record, placement, query, verdict, now, draws)
+        return
+    record.rank = rank_request(state, record, now)
+    record.placed_at = now
+    _leave_hold(state, record)
     yield log_placement(state, record, placement, now)
     if placement.is_prefill_only:
         record.phase = Phase.PREFILL
@@ -275,13 +350,67 @@
             sent_at=now,
             max_connections=state.compute_connection_share(placement.server),
             workspace=record.workspace,
-            priority=record.priority,
+            priority=record.rank,
             fetch_address=_find_address(state, placement.fetches_from),
         )
     else:
         yield _send_request(state, record, placement, now)
 
 
+def _hold_or_refuse(
+    state: DaemonState,
+    record: RequestRecord,
+    placement: Placement,
+    query: AdmissionQuery,
+    verdict: AdmissionVerdict,
+    now: float,
+    draws: tuple[float, float],
+) -> Iterator[Effect]:
+    """Let a request wait for room, or refuse it, as admission has decided."""
+    request_id = record.request.request_id
+    queue = state.overload.get_queue(record.service)
+    if verdict is AdmissionVerdict.WAIT:
+        record.phase = Phase.HELD
+        if request_id not in queue.workspaces:
+            queue.workspaces[request_id] = record.workspace
+            state.counters["admission.held"] += 1
+            yield log_admission(state, record, placement.server, query, "wait", now)
+            yield WatchHold(request_id=request_id, seconds=query.hold_left)
+        return
+    state.counters["admission.refused"] += 1
+    count_refusal(state, record, now)
+    yield log_admission(state, record, placement.server, query, "refuse", now)
+    reason = (
+        f"no room for {record.service!r} in time: room in {query.wait_seconds:.2f} s,"
+        f" the answer would take {query.last_seconds:.2f} s, of"
+        f" {query.time_left:.2f} s that are left"
+    )
+    refusal = OVERLOADED.with_reason(reason)
+    seconds = _draw_return(state, record, now, draws[0], query.wait_seconds)
+    yield from refuse_accepted(state, record, refusal.with_retry_after(seconds))
+
+
+def _leave_hold(state: DaemonState, record: RequestRecord) -> None:
+    """Count a waiting request as placed; one that doesn't wait is left alone."""
+    queue = state.overload.waiting.get(record.service)
+    if queue is not None and record.request.request_id in queue.workspaces:
+        state.counters["admission.placed"] += 1
+        queue.count_placed(record.request.request_id)
+        del queue.workspaces[record.request.request_id]
+
+
+def _draw_return(
+    state: DaemonState,
+    record: RequestRecord,
+    now: float,
+    draw: float,
+    wait_seconds: float = 0.0,
+) -> float:
+    """Return the seconds after which a caller is told to come back for room."""
+    seconds = compute_return_seconds(state, record, now, wait_seconds)
+    return RETURN_POLICIES.find(state.policy.full_returns)(seconds, draw)
+
+
 def _start_decode(
     state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
 ) -> Iterator[Effect]:
@@ -319,7 +448,7 @@
         sent_at=now,
         max_connections=state.compute_connection_share(placement.server),
         workspace=record.workspace,
-        priority=record.priority,
+        priority=record.rank,
         fetch_address=_find_address(state, placement.fetches_from),
         kv_cache=record.kv_cache,
         hides_errors=can_retry_error(state, record, now),
@@ -351,7 +480,9 @@
     state: DaemonState, record: RequestRecord, now: float, draws: tuple[float, float]
 ) -> Refusal:
     closed = describe_closed(state, record, now, draws[0])
-    return closed or NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
+    return closed or NO_SERVER.with_retry_after(
+        _draw_return(state, record, now, draws[0])
+    )
 
 
 def _assign_server(
@@ -409,6 +540,7 @@
     outcome: AttemptOutcome,
     reason: str,
     now: float,
+    draws: tuple[float, float],
 ) -> Iterator[Effect]:
     if outcome is AttemptOutcome.CALLER_LEFT:
         yield from _abandon(state, record, now)
@@ -416,7 +548,7 @@
     yield log_attempt_failed("warning", record, outcome, reason)
     refusal = UPSTREAM_FAILED
     if record.verdict is Verdict.NOT_RUN:
-        refusal = NO_SERVER.with_retry_after(RETRY_AFTER_SECONDS)
+        refusal = NO_SERVER.with_retry_after(_draw_return(state, record, now, draws[0]))
     if outcome is AttemptOutcome.TIMED_OUT:
         is_stopping = state.drain.has_timed_out and record.verdict is Verdict.NOT_RUN
         refusal = DRAINING if is_stopping else DEADLINE_EXCEEDED
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -39,7 +39,12 @@
 from geraniumhall_core.handlers.summaries import expire_summaries, send_summaries
 from geraniumhall_core.handlers.unusable_objects import count_unusable
 from geraniumhall_core.handlers.usage import advance_usage_sealing
-from geraniumhall_core.handlers.waiting import end_requests, expire_waiting, refuse_held
+from geraniumhall_core.handlers.waiting import (
+    advance_waiting,
+    end_requests,
+    expire_waiting,
+    refuse_held,
+)
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.state import DaemonState
 
@@ -51,6 +56,7 @@
     yield from prove_running(state, event.at)
     yield from decide_crashes(state, event.at)
     yield from refuse_held(state, event.at)
+    yield from advance_waiting(state, event.at, event.draws)
     yield from save_parts(state, event.at)
     yield from expire_rounds(state, event.at, event.draws)
     yield from expire_grant_rounds(state, event.at, event.draws)
@@ -154,6 +160,7 @@
     increases = state.counters - metrics.reported
     metrics.reported = state.counters.copy()
     waiting = sum(queue.waiting_count for queue in state.queues.values())
+    waiting += state.overload.count_waiting()
     configuration = state.catalogue.configuration
     yield EmitMetrics(
         counters=tuple(Metric(k, v) for k, v in sorted(increases.items())),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -7,6 +7,7 @@
 
 from geraniumhall_core.catalogue import BackendServer, EngineProfile
 from geraniumhall_core.handlers.access import is_open, is_place_for
+from geraniumhall_core.handlers.room import prefer_room
 from geraniumhall_core.handlers.speeds import find_speed, find_usual_speed
 from geraniumhall_core.orders import ServerRole
 from geraniumhall_core.planning import (
@@ -53,6 +54,7 @@
     names = _list_usable(state, record, now)
     if not names:
         return None
+    names = prefer_room(state, record.service, names, now, draws[0])
     engine = state.catalogue.find_service(record.service).engine
     if engine is None or not record.request.parts:
         return _place_by_routing(state, record, names, draws)
@@ -65,6 +67,7 @@
     """Return the server that decodes after a prefill, or None if there is none."""
     assert record.kv_cache is not None
     names = _list_usable(state, record, now)
+    names = prefer_room(state, record.service, names, now, draw)
     views = [_build_engine_view(state, name, (), now) for name in names]
     prefill_server = state.catalogue.servers.get(record.kv_cache.server)
     is_local = prefill_server is not None and _is_local(state, prefill_server)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -4,6 +4,7 @@
 from geraniumhall_core.events import RequestAbandoned, RequestArrived
 from geraniumhall_core.handlers.placement import Placement
 from geraniumhall_core.handlers.speeds import find_speed
+from geraniumhall_core.overload import AdmissionQuery
 from geraniumhall_core.refusals import Refusal
 from geraniumhall_core.requests import AttemptOutcome, RequestRecord
 from geraniumhall_core.state import DaemonState
@@ -47,6 +48,46 @@
             LogField("read_speed", round(speed.prefill, 2)),
             LogField("decode_speed", round(speed.decode, 2)),
             LogField("failing", round(speed.failing, 2)),
+            LogField("rank", record.rank),
+        ),
+    )
+
+
+def log_admission(
+    state: DaemonState,
+    record: RequestRecord,
+    server: str,
+    query: AdmissionQuery,
+    outcome: str,
+    now: float,
+) -> WriteLog:
+    """Log why a request waits for room or is refused, with what that rests on.
+
+    `server` would be the best for it; `refused_before` is how long ago that last said
+    that it is full, and -1 if it never did.
+    """
+    load = state.get_load(server)
+    foreign = state.estimate_foreign_work(server)
+    refused_before = now - load.refused_at if load.refusals else -1.0
+    return WriteLog(
+        level="info",
+        event="admission_decided",
+        fields=(
+            LogField("request", record.request.request_id),
+            LogField("caller_id", record.request.caller_id),
+            LogField("entry", record.entry),
+            LogField("outcome", outcome),
+            LogField("server", server),
+            LogField("room_in", round(query.wait_seconds, 4)),
+            LogField("first_in", round(query.first_seconds, 4)),
+            LogField("last_in", round(query.last_seconds, 4)),
+            LogField("time_left", round(query.time_left, 4)),
+            LogField("hold_left", round(query.hold_left, 4)),
+            LogField("is_repeat", record.is_repeat),
+            LogField("running", load.outstanding + foreign.requests),
+            LogField("refused_before", round(refused_before, 3)),
+            LogField("reporting_hosts", len(state.reports.latest)),
+            LogField("other_hosts", state.live_hosts - 1),
         ),
     )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/waiting.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/waiting.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterator
 
 from geraniumhall_core.effects import EndAttempt, LogField, WriteLog
-from geraniumhall_core.handlers.attempts import refuse_accepted, refuse_unpaid
+from geraniumhall_core.handlers.attempts import (
+    place_waiting,
+    refuse_accepted,
+    refuse_unpaid,
+)
 from geraniumhall_core.handlers.borrowing import cancel_borrowing
 from geraniumhall_core.handlers.quarantine import describe_hold, find_held_part
 from geraniumhall_core.reducer import Effect
@@ -21,6 +25,14 @@
             yield from refuse_accepted(state, record, DEADLINE_EXCEEDED)
 
 
+def advance_waiting(
+    state: DaemonState, now: float, draws: tuple[float, float]
+) -> Iterator[Effect]:
+    """Look for room for the requests that wait for it, as other hosts report it."""
+    for service in list(state.overload.waiting):
+        yield from place_waiting(state, service, now, draws)
+
+
 def refuse_held(state: DaemonState, now: float) -> Iterator[Effect]:
     """Refuse waiting requests with a part that has been held meanwhile."""
     if not state.quarantine.count_held():
--- a/packages/geraniumhall-core/src/geraniumhall_core/overload.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/overload.py
@@ -28,11 +28,13 @@
 class AdmissionQuery:
     """A request and the room that it would find; all times are in seconds.
 
-    `time_left` is the time until its deadline. `first_objective` is the time left of
-    its objective for the first event, None without one. `first_seconds` and
-    `last_seconds` are the expected times until its first and its last event if it is
-    sent now. `wait_seconds` is the expected time until room frees for it, zero if
-    there is room now. `priority` zero is the most urgent.
+    `time_left` is the time until its deadline, and `hold_left` how much longer this
+    host may keep it waiting. `first_objective` is the time left of its objective for
+    the first event, None without one. `first_seconds` and `last_seconds` are the
+    expected times until its first and its last event if it is sent now.
+    `wait_seconds` is the expected time until room frees for it, zero if there is room
+    now. With `is_busy`, half of the places of its server are taken, or prompts wait
+    there. `priority` zero is the most urgent.
     """
 
     time_left: float
@@ -40,6 +42,8 @@
     first_seconds: float
     last_seconds: float
     wait_seconds: float = 0.0
+    hold_left: float = 0.0
+    is_busy: bool = False
     priority: int = 0
 
 
@@ -51,3 +55,24 @@
 def admit_within_queue(query: AdmissionQuery) -> AdmissionVerdict:
     """Admit every request that the entry's queue has room for: the baseline."""
     return AdmissionVerdict.ADMIT
+
+
+@ADMISSION_POLICIES.register("in_time")
+def admit_in_time(query: AdmissionQuery) -> AdmissionVerdict:
+    """Admit what can be answered before its deadline, and let it wait for room.
+
+    It answers the load of too many requests for too little room. What would end after
+    its deadline takes the engines' time from others and is refused while its caller
+    can still do something else. An estimate alone refuses nothing at a server that
+    isn't busy. A request waits here only as long as room is expected within the time
+    that it may be held (test_overload).
+    """
+    is_full = query.wait_seconds > 0
+    is_late = query.wait_seconds + query.last_seconds > query.time_left
+    if is_late and (is_full or query.is_busy):
+        return AdmissionVerdict.REJECT
+    if not is_full:
+        return AdmissionVerdict.ADMIT
+    if query.wait_seconds <= query.hold_left:
+        return AdmissionVerdict.WAIT
+    return AdmissionVerdict.REJECT
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -73,6 +73,13 @@
         """The most tokens that the request takes in an engine's memory."""
         return self.prompt_tokens + self.max_tokens
 
+    @property
+    def output_tokens(self) -> int:
+        """The number of tokens that the request is expected to generate."""
+        if self.output_hint is None:
+            return self.max_tokens
+        return min(self.output_hint, self.max_tokens or self.output_hint)
+
 
 class Phase(Enum):
     """The phase of an accepted request."""
@@ -81,6 +88,7 @@
     CLAIMING = "claiming"
     QUEUED = "queued"
     ASKING = "asking"
+    HELD = "held"
     PREFILL = "reading"
     RUNNING = "running"
 
@@ -103,16 +111,19 @@
     """The state of one accepted request until it ends.
 
     `deadline` is the latest time for the complete response, in seconds on the host's
-    clock. `cost` is what the request takes from the workspace's rate. `runs` counts
-    the attempts that may have run. `prefill_tokens` are prompt tokens whose prefill
-    is pending on the current server, as far as this host knows. `kv_cache` refers
-    to the prompt's KV cache between prefill and decode. `sent_at` is when the current
-    attempt was sent and `began_at` when its answer began, in seconds on the host's
-    clock. `attempted_at` is when the current attempt or prefill was sent;
-    `pending_prefill` are the tokens that its server had to prefill by then, this
-    prompt included, and `prefill_percent` is the rate that it showed, in percent of the
-    configured one, zero if not measured. A request that tries a held part has its name
-    as `trial_part`. One that `has_asked` other hosts for a token does not ask again.
+    clock. `cost` is what the request takes from the workspace's rate. `runs` counts the
+    attempts that may have run. `prefill_tokens` are prompt tokens whose prefill is
+    pending on the current server, as far as this host knows. `kv_cache` refers to the
+    prompt's KV cache between prefill and decode. `sent_at` is when the current attempt
+    was sent and `began_at` when its answer began, in seconds on the host's clock.
+    `attempted_at` is when the current attempt or prefill was sent; `pending_prefill`
+    are the tokens that its server had to prefill by then, this prompt included, and
+    `prefill_percent` is the rate that it showed, in percent of the configured one, zero
+    if not measured. A request that tries a held part has its name as `trial_part`. One
+    that `has_asked` other hosts for a token does not ask again. It was placed at
+    `placed_at`, and its first event planned `planned` seconds later, before the
+    service's pace is applied. `rank` is its urgency among the requests of its service,
+    and `is_repeat` tells that its caller has tried before.
     """
 
     request: CallerRequest
@@ -143,6 +154,10 @@
     is_probing: bool = False
     trial_part: str = ""
     has_asked: bool = False
+    placed_at: float = float("inf")
+    planned: float = 0.0
+    rank: int = 0
+    is_repeat: bool = False
 
     @property
     def attempt_id(self) -> str:
--- a/packages/geraniumhall-core/src/geraniumhall_core/returns.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/returns.py
@@ -34,3 +34,14 @@
     all return in the moment it opens (test_restrictions).
     """
     return seconds + draw * max(MIN_SPREAD_SECONDS, SPREAD_FRACTION * seconds)
+
+
+@RETURN_POLICIES.register("as_room_frees")
+def return_as_room_frees(seconds: float, draw: float) -> float:
+    """Spread callers evenly over the time in which room frees for them.
+
+    It answers the load of many callers that were refused for lack of room: they come
+    back at the rate at which it frees, neither all at the start nor all at the end
+    (test_overload).
+    """
+    return max(MIN_SPREAD_SECONDS, seconds) * (SPREAD_FRACTION + draw)
--- a/packages/geraniumhall-core/src/geraniumhall_core/server_load.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/server_load.py
@@ -12,7 +12,9 @@
     `memory_tokens` those that the requests in progress keep in memory. After a
     failure the server gets no new work until `suspended_until`, in seconds on the
     host's clock, unless no other server can take it. `incarnation` is the start
-    time of the server process that the failures belong to.
+    time of the server process that the failures belong to. It has said `refusals`
+    times in a row that it is full, last at `refused_at`, and counts as full until
+    `full_until`.
     """
 
     incarnation: int = 0
@@ -21,6 +23,9 @@
     memory_tokens: int = 0
     failures: int = 0
     suspended_until: float = float("-inf")
+    refusals: int = 0
+    refused_at: float = float("-inf")
+    full_until: float = float("-inf")
 
     def start_work(self, prefill_tokens: int, memory_tokens: int) -> None:
         """Count a request that is sent to the server."""
@@ -43,11 +48,30 @@
             self.incarnation = started_at
             self.failures = 0
             self.suspended_until = float("-inf")
+            self.record_room(float("inf"))
 
     def record_success(self) -> None:
         """Clear the failures after a complete response."""
         self.failures = 0
 
+    def record_refusal(self, now: float, seconds: float, limit: float) -> None:
+        """Count the server as full until its work has had time to drain.
+
+        That is `seconds`, doubled with each refusal in a row, up to `limit` seconds.
+        """
+        self.full_until = now + min(limit, seconds * 2**self.refusals)
+        self.refused_at = now
+        self.refusals += 1
+
+    def record_room(self, sent_at: float) -> None:
+        """Count the server as having room: it took a request sent at `sent_at`.
+
+        One that was sent before the last refusal proves nothing of the time after it.
+        """
+        if sent_at >= self.refused_at:
+            self.refusals = 0
+            self.full_until = float("-inf")
+
     def record_failure(self, now: float, base: float, limit: float) -> None:
         """Suspend the server after a failure.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -12,12 +12,13 @@
     compute_sparing_interval,
 )
 from geraniumhall_core.copies import RelayState
-from geraniumhall_core.fairness import EntryQueue
+from geraniumhall_core.fairness import EntryQueue, RoomQueue
 from geraniumhall_core.hosts import HostsView, KnownHost
 from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
 from geraniumhall_core.loans import BorrowingState
 from geraniumhall_core.orders import OrderState
+from geraniumhall_core.pace import EntryProfile, ServicePace
 from geraniumhall_core.parts import CrashId
 from geraniumhall_core.platform import Feed
 from geraniumhall_core.policy import Policy
@@ -169,6 +170,40 @@
     reported: Counter[str] = attrs.field(factory=Counter)
 
 
+@attrs.define
+class OverloadState:
+    """What decisions under load rest on, by service, and by entry for `profiles`.
+
+    `arrivals`, `refusals` and `completions` measure the requests a second that this
+    host accepts, refuses for lack of room and has answered.
+    """
+
+    waiting: dict[str, RoomQueue] = attrs.field(factory=dict)
+    paces: dict[str, ServicePace] = attrs.field(factory=dict)
+    profiles: dict[str, EntryProfile] = attrs.field(factory=dict)
+    arrivals: dict[str, DemandMeter] = attrs.field(factory=dict)
+    refusals: dict[str, DemandMeter] = attrs.field(factory=dict)
+    completions: dict[str, DemandMeter] = attrs.field(factory=dict)
+
+    def get_pace(self, service: str) -> ServicePace:
+        """Return the pace of a service, created on first use."""
+        return self.paces.setdefault(service, ServicePace())
+
+    def get_queue(self, service: str) -> RoomQueue:
+        """Return the requests that wait for a service, created on first use."""
+        return self.waiting.setdefault(service, RoomQueue())
+
+    def stop_waiting(self, service: str, request_id: str) -> None:
+        """Remove a request that may wait for a service."""
+        queue = self.waiting.get(service)
+        if queue is not None:
+            queue.workspaces.pop(request_id, None)
+
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait for room."""
+        return sum(len(queue.workspaces) for queue in self.waiting.values())
+
+
 @attrs.define
 class DaemonState:
     """State of one daemon process.
@@ -212,6 +247,7 @@
     requests: dict[str, RequestRecord] = attrs.field(factory=dict)
     queues: dict[str, EntryQueue] = attrs.field(factory=dict)
     loads: dict[str, ServerLoad] = attrs.field(factory=dict)
+    overload: OverloadState = attrs.field(factory=OverloadState)
     restrictions: RestrictionsView = attrs.field(factory=RestrictionsView)
     prefix_caches: PrefixCaches = attrs.field(factory=PrefixCaches)
     speeds: SpeedBook = attrs.field(factory=SpeedBook)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -10,7 +10,7 @@
 
 from geraniumhall_core.events import DrainRequested, DumpRequested
 from geraniumhall_core.reducer import Event
-from geraniumhall_daemon import memory, orders, performers, probes, relays
+from geraniumhall_daemon import holds, memory, orders, performers, probes, relays
 from geraniumhall_daemon.admin import serve_operator
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
@@ -37,6 +37,7 @@
     "ObjectsDriver",
     "OpenAiFront",
     "RoutedFront",
+    "holds",
     "main",
     "memory",
     "orders",
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -20,11 +20,13 @@
 from geraniumhall_core.records import RECORD_KINDS, ObjectKey
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.returns import RETURN_POLICIES
+from geraniumhall_core.room import ROOM_POLICIES
 from geraniumhall_core.routing import ROUTING_POLICIES
 from geraniumhall_core.scaling import SCALING_POLICIES
 from geraniumhall_core.sharing import SHARING_POLICIES
 from geraniumhall_core.speeds import SPEED_POLICIES
 from geraniumhall_core.summaries import REPORTING_POLICIES
+from geraniumhall_core.urgency import URGENCY_POLICIES
 from geraniumhall_wire.converter import (
     FieldViolation,
     InvalidDataError,
@@ -198,8 +200,10 @@
     all other servers; `scaling` decides how many servers are requested, and `sharing`
     which hosts send to a server that limits its requests and `places` which requests.
     `returns` decides when refused callers are told to come back, and `admission` which
-    requests are refused while their servers are busy. `speeds` tells how fast each
-    engine is taken to be.
+    requests are refused or wait while their servers are busy. `full_returns` decides
+    when callers are told to come back that found no room, `room` which busy servers
+    this host uses while others are free, and `urgency` the order in which requests
+    get room. `speeds` tells how fast each engine is taken to be.
     `engine_read_rate` is the speed of a prefill-only engine in prompt tokens
     per second.
     """
@@ -222,9 +226,18 @@
     returns: str = attrs.field(
         default="spread", validator=_check_registered(RETURN_POLICIES)
     )
+    full_returns: str = attrs.field(
+        default="at_once", validator=_check_registered(RETURN_POLICIES)
+    )
     admission: str = attrs.field(
         default="queue_bound", validator=_check_registered(ADMISSION_POLICIES)
     )
+    room: str = attrs.field(
+        default="unlimited", validator=_check_registered(ROOM_POLICIES)
+    )
+    urgency: str = attrs.field(
+        default="priority", validator=_check_registered(URGENCY_POLICIES)
+    )
     speeds: str = attrs.field(
         default="uniform", validator=_check_registered(SPEED_POLICIES)
     )
@@ -429,7 +442,10 @@
             sharing=self.routing.sharing,
             places=self.routing.places,
             returns=self.routing.returns,
+            full_returns=self.routing.full_returns,
             admission=self.routing.admission,
+            room=self.routing.room,
+            urgency=self.routing.urgency,
             speeds=self.routing.speeds,
             confirmation=self.catalogue.confirmation,
             reporting=self.hosts.reporting,
