Repeat what reached no server without spending the retry budget

The budget bounds arrivals, and these had none.

Change: an attempt that could not connect gives its place in the budget to its repeat, at most four times a request. A decode that could not connect is repeated with the same KV cache on another engine: another prefill would be an arrival, and is wasted work.

Ruled out: a larger budget, which real arrivals would use.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -173,9 +173,7 @@
     elif may_retry(state, record, event.outcome, event.at):
         state.counters["attempts.retried"] += 1
         yield log_attempt_failed("info", record, event.outcome, event.reason)
-        yield from _release_kv_cache(state, record, event.verdict, event.at)
-        if not record.is_probing:
-            yield from _start_attempt(state, record, event.at, event.draws)
+        yield from _repeat_attempt(state, record, event)
     else:
         record.is_probing = False
         count_tokens(state, record, event)
@@ -188,6 +186,21 @@
     yield from report_load(state, event.at)
 
 
+def _repeat_attempt(
+    state: DaemonState, record: RequestRecord, event: AttemptEnded
+) -> Iterator[Effect]:
+    """Send a request again, from its prompt's KV cache if nobody can have used it.
+
+    Another prefill would count as an arrival.
+    """
+    if event.outcome is AttemptOutcome.CONNECT_FAILED and record.kv_cache is not None:
+        yield from _start_decode(state, record, event.at, event.draws)
+        return
+    yield from _release_kv_cache(state, record, event.verdict, event.at)
+    if not record.is_probing:
+        yield from _start_attempt(state, record, event.at, event.draws)
+
+
 @REDUCER.handles(HoldEnded)
 def end_hold(state: DaemonState, event: HoldEnded) -> Iterator[Effect]:
     """Place a request that has waited for room as long as it may, or refuse it."""
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/retries.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/retries.py
@@ -13,13 +13,20 @@
         AttemptOutcome.SERVER_ERROR,
     }
 )
+MAX_UNSENT = 4  # attempts of a request that reach no server
 RETRYABLE_OUTCOMES = SERVER_FAULT_OUTCOMES | {AttemptOutcome.BUSY}
 
 
 def may_retry(
     state: DaemonState, record: RequestRecord, outcome: AttemptOutcome, now: float
 ) -> bool:
-    """Return whether a failed attempt may be repeated, and spend the retry budget."""
+    """Return whether a failed attempt may be repeated, and spend the retry budget.
+
+    An attempt that could not connect reached no server, so its repeat takes its place
+    in the budget, which bounds arrivals.
+    """
+    is_unsent = outcome is AttemptOutcome.CONNECT_FAILED
+    record.unsent += is_unsent
     if outcome not in RETRYABLE_OUTCOMES or record.response_started:
         return False
     if not record.repeatable and record.verdict is not Verdict.NOT_RUN:
@@ -28,6 +35,8 @@
         return False
     if not has_alternative(state, record, now):
         return False
+    if is_unsent:
+        return record.unsent < MAX_UNSENT
     return state.get_retry_budget(record.service).try_spend()
 
 
--- a/packages/geraniumhall-core/tests/test_attempts.py
+++ b/packages/geraniumhall-core/tests/test_attempts.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from builders import (
     apply_feed_answer,
     build_arrival,
@@ -18,15 +19,32 @@
     CloseExchange,
     RefuseRequest,
     RelayRequest,
+    ReleaseKvCache,
 )
 from geraniumhall_core.events import ResponseStarted
+from geraniumhall_core.handlers.retries import MAX_UNSENT, may_retry
 from geraniumhall_core.platform import Feed
-from geraniumhall_core.requests import AttemptOutcome, PathTarget
+from geraniumhall_core.requests import (
+    AttemptOutcome,
+    CallerRequest,
+    KvCacheRef,
+    PathTarget,
+    RequestRecord,
+)
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.usage import UsageFigures
 from geraniumhall_core.verdict import Verdict
 
 FILING = PathTarget("/filings")
+PENDING = RequestRecord(
+    request=CallerRequest(request_id="r1", target=FILING),
+    entry="draft",
+    workspace="audit",
+    repeatable=True,
+    arrived_at=1.0,
+    deadline=9.0,
+    service="draft",
+)
 
 
 class ConnectionShareTest(unittest.TestCase):
@@ -124,6 +142,40 @@
         effects = reduce(state, build_attempt_end(relay, AttemptOutcome.BROKEN))
         find_effect(effects, RefuseRequest)
 
+    def test_retry_of_what_was_not_sent_needs_no_budget(self) -> None:
+        """Many servers are gone at once: nothing arrived, so a retry is no extra one.
+
+        Servers that can't be reached take no budget from those that broke off.
+        """
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        state.get_retry_budget("draft").balance = 0.5
+        failed = AttemptOutcome.CONNECT_FAILED
+        end = build_attempt_end(relay, failed, Verdict.NOT_RUN)
+        find_effect(reduce(state, end), RelayRequest)
+        self.assertEqual(state.get_retry_budget("draft").balance, 0.5)
+
+    def test_unused_kv_cache_is_decoded_on_another_server(self) -> None:
+        """After an engine that can't be reached, the prompt isn't prefilled again."""
+        state = build_state()
+        relay = find_effect(reduce(state, build_arrival()), RelayRequest)
+        cache = KvCacheRef("e9", "10.0.0.9:80", "x", 900)
+        state.requests["r1"].kv_cache = cache
+        failed = AttemptOutcome.CONNECT_FAILED
+        end = build_attempt_end(relay, failed, Verdict.NOT_RUN)
+        effects = reduce(state, end)
+        again = find_effect(effects, RelayRequest)
+        self.assertEqual(again.kv_cache, cache)
+        self.assertNotEqual(again.server, relay.server)
+        self.assertFalse(any(isinstance(e, ReleaseKvCache) for e in effects))
+
+    def test_unsent_attempts_of_a_request_are_bounded(self) -> None:
+        """A request doesn't try every server of a service that is gone."""
+        state = build_state()
+        record = attrs.evolve(PENDING, unsent=MAX_UNSENT)
+        failed = AttemptOutcome.CONNECT_FAILED
+        self.assertFalse(may_retry(state, record, failed, 2.0))
+
     def test_event_of_an_old_attempt_is_ignored(self) -> None:
         """The late end of an earlier attempt has no effect."""
         state = build_state()
