--- a/packages/geraniumhall-core/tests/test_overload.py
+++ b/packages/geraniumhall-core/tests/test_overload.py
@@ -50,6 +50,7 @@
 from geraniumhall_core.reports import LoadReport, ServerWork
 from geraniumhall_core.requests import AttemptOutcome, CallerRequest, PathTarget
 from geraniumhall_core.returns import RETURN_POLICIES
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.room import ROOM_POLICIES, RoomQuery, ServerRoom
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.urgency import URGENCY_POLICIES, UrgencyQuery
@@ -105,7 +106,7 @@
     listed = [
         VersionedRecord(
             ObjectKey("registered_server", f"s{number}"),
-            1 + number,
+            Revision(number=1 + number),
             BackendServer(
                 address=f"10.0.0.{number}:80",
                 failure_domain="a",
@@ -115,10 +116,13 @@
         )
         for number in range(servers)
     ]
-    one = (VersionedRecord(key, 1, configuration),)
-    apply_feed_answer(state, Feed.CONFIGURATION, Listing(1, one))
-    apply_feed_answer(state, Feed.SERVERS, Listing(servers, tuple(listed)))
-    apply_feed_answer(state, Feed.RECORDS, Listing(1, ()))
+    listings = {
+        Feed.CONFIGURATION: (VersionedRecord(key, Revision(number=1), configuration),),
+        Feed.SERVERS: tuple(listed),
+        Feed.RECORDS: (),
+    }
+    for feed, objects in listings.items():
+        apply_feed_answer(state, feed, Listing(Revision(number=servers), objects))
     return state
 
 
