Tell where a request would go, without sending it

Change: `geraniumhall place` and POST /admin/v1/placement: the decision on a described request, its reason, and each candidate with work, memory, speeds, kept tokens and why it is left out. The reducer decides as for a real request; nothing is counted or sent.

--- a/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/commands.py
@@ -233,6 +233,36 @@
         data = self._context.call("GET", "/admin/v1/servers").data
         print_result(data["servers"], self._context.json)
 
+    def place(
+        self,
+        entry: str,
+        prompt_tokens: int = 0,
+        max_tokens: int = 0,
+        parts: str = "",
+        workspace: str = "",
+        timeout: float | None = None,
+    ) -> None:
+        """Tell where a request would go now, and why, without sending it.
+
+        ENTRY is the catalogue entry. PARTS are those of the prompt in order, such as
+        5c1e07a2:800,91bd3f06:410; TIMEOUT is in seconds.
+        """
+        request = {
+            "entry": str(entry),
+            "workspace": str(workspace),
+            "prompt_tokens": prompt_tokens,
+            "max_tokens": max_tokens,
+            "parts": _parse_parts(parts),
+            "timeout": timeout,
+        }
+        data = self._context.call("POST", "/admin/v1/placement", request).data
+        candidates = data.pop("candidates")
+        if self._context.json:
+            print_result({**data, "candidates": candidates}, as_json=True)
+            return
+        print_result(data, as_json=False)
+        print_result(candidates, as_json=False)
+
     def unusable(self) -> None:
         """List the store's objects that the daemon can't decode, with the reasons."""
         data = self._context.call("GET", "/admin/v1/unusable").data
@@ -300,6 +330,18 @@
         print_result(self._context.call(method, path).data, self._context.json)
 
 
+def _parse_parts(text: str) -> list[dict[str, Any]]:
+    """Return the parts of a prompt given as ID:TOKENS, separated by commas."""
+    parts = []
+    for item in filter(None, str(text).split(",")):
+        name, _, tokens = item.rpartition(":")
+        if not name or not tokens.isdecimal():
+            print(f"part {item!r}, expected ID:TOKENS", file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+        parts.append({"id": name, "tokens": int(tokens)})
+    return parts
+
+
 def _read_file(file: str) -> str:
     try:
         return sys.stdin.read() if file == "-" else Path(file).read_text()
--- a/packages/geraniumhall-cli/tests/test_commands.py
+++ b/packages/geraniumhall-cli/tests/test_commands.py
@@ -39,6 +39,12 @@
         result = run("catalogue", "get", "entry")
         self.assertEqual((result.returncode, result.stdout), (2, ""))
 
+    def test_malformed_part(self) -> None:
+        """A prompt part without its tokens is a usage error."""
+        result = run("--admin", UNUSED_ADDRESS, "place", "draft", "--parts", "abc")
+        self.assertEqual(result.returncode, 2)
+        self.assertIn("ID:TOKENS", result.stderr)
+
     def test_unreachable_daemon(self) -> None:
         """An unreachable daemon has its own exit code."""
         self.assertEqual(run("--admin", UNUSED_ADDRESS, "status").returncode, 4)
--- a/packages/geraniumhall-core/src/geraniumhall_core/admin.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/admin.py
@@ -6,6 +6,7 @@
 
 from geraniumhall_core.platform import PlatformAnswer
 from geraniumhall_core.records import ObjectKey
+from geraniumhall_core.requests import PromptPart
 from geraniumhall_core.revisions import Revision
 
 
@@ -70,6 +71,22 @@
     """Read the whole state of this daemon, without secrets."""
 
 
+@attrs.frozen(kw_only=True)
+class PreviewPlacement(AdminCommand):
+    """Tell where a request would go now, and why, without sending it.
+
+    `parts` are those of its prompt in order. `timeout` is in seconds, None if the
+    caller sets no deadline.
+    """
+
+    entry: str
+    workspace: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+    timeout: float | None = None
+
+
 @attrs.frozen
 class StartDrain(AdminCommand):
     """Start draining this daemon."""
@@ -209,3 +226,48 @@
     """The objects of the store that this daemon can't decode."""
 
     objects: tuple[UnusableStatus, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A backend server as this daemon would weigh it for a request.
+
+    `left_out` tells why it would not be considered, empty if it would. `requests` run
+    there, those of all hosts, and `waiting_tokens` of prompts wait for prefill.
+    `kept_tokens` of the prompt are expected to be held there; running requests take
+    `memory_used` tokens. Speeds are relative to the service's usual ones; `failing` is
+    the share of requests that it fails.
+    """
+
+    server: str
+    failure_domain: str
+    role: str
+    left_out: str
+    requests: float
+    slots: int
+    waiting_tokens: int
+    kept_tokens: int
+    memory_used: int
+    prefill_speed: float
+    decode_speed: float
+    failing: float
+
+
+@attrs.frozen(kw_only=True)
+class PlacementPreview(AdminAnswer):
+    """Where a request would go now, and why.
+
+    `outcome` is `admit`, `wait`, `reject` or `refuse`. The work of `known_hosts` other
+    hosts is known. With `prefill_only` the server only runs prefill.
+    """
+
+    entry: str
+    service: str
+    outcome: str
+    reason: str
+    server: str
+    prefill_only: bool
+    fetches_from: str
+    expected_seconds: float
+    known_hosts: int
+    candidates: tuple[Candidate, ...]
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -153,7 +153,7 @@
         arrived_at=event.at - event.age,
         deadline=event.at - event.age + _choose_timeout(entry, request),
         cost=compute_cost(limits, request),
-        service=_choose_service(name, entry, event.draws[0]),
+        service=choose_service(name, entry, event.draws[0]),
         priority=_choose_priority(state, entry, workspace),
     )
 
@@ -204,7 +204,7 @@
     return min(entry.limits.deadline, request.timeout)
 
 
-def _choose_service(name: str, entry: CatalogueEntry, draw: float) -> str:
+def choose_service(name: str, entry: CatalogueEntry, draw: float) -> str:
     """Pick one of the entry's services at random, in proportion to the weights."""
     if not entry.services:
         return name
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -81,6 +81,13 @@
     return Placement(server=chosen.name) if chosen else None
 
 
+def view_engine(
+    state: DaemonState, request: CallerRequest, name: str, now: float
+) -> EngineView:
+    """Return what the planner knows of an engine, for a request."""
+    return _build_engine_view(state, name, _list_part_uses(request), now)
+
+
 def has_alternative(state: DaemonState, record: RequestRecord, now: float) -> bool:
     """Return whether an untried server that is open to this host is left.
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
@@ -11,6 +11,7 @@
     DrainStarted,
     InvalidRecord,
     MemberStatuses,
+    PlacementPreview,
     PlatformResult,
     ServerStatuses,
     StateDump,
@@ -76,7 +77,7 @@
 
 
 @ANSWER_ENCODERS.register(
-    Status, ServerStatuses, MemberStatuses, UnusableObjects, StateDump
+    Status, ServerStatuses, MemberStatuses, UnusableObjects, PlacementPreview, StateDump
 )
 def encode_description(answer: AdminAnswer) -> AdminResponse:
     """Encode an answer with all its fields except secrets."""
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
@@ -16,6 +16,7 @@
     AdminCommand,
     DeleteRecord,
     ListRecords,
+    PreviewPlacement,
     ReadDump,
     ReadMembers,
     ReadRecord,
@@ -31,12 +32,13 @@
 from geraniumhall_core.registry import Registry
 from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_wire.admin_answers import AdminRefusal
-from geraniumhall_wire.converter import InvalidDataError
+from geraniumhall_wire.converter import InvalidDataError, build_converter, structure
 from geraniumhall_wire.heads import RequestHead
 from geraniumhall_wire.records import decode_record
 from geraniumhall_wire.versions import decode_version
 
 ADMIN_PREFIX = "/admin/v1"
+CONVERTER = build_converter()
 WRITABLE_KINDS = tuple(kind for kind in EDITABLE_KINDS if kind != "key")
 
 
@@ -113,6 +115,15 @@
     return ReadUnusable()
 
 
+@ADMIN_ROUTES.register(("POST", f"{ADMIN_PREFIX}/placement"))
+def parse_placement(call: AdminCall) -> AdminCommand | AdminRefusal:
+    """Tell where a described request would go now, and why, without sending it."""
+    try:
+        return structure(CONVERTER, loads(call.body), PreviewPlacement)
+    except ValueError as error:
+        return _refuse_record(error)
+
+
 @ADMIN_ROUTES.register(("POST", f"{ADMIN_PREFIX}/drain"))
 def parse_drain(call: AdminCall) -> AdminCommand:
     """Start draining the daemon."""
