--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/summaries.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/summaries.py
@@ -38,7 +38,8 @@
 def note_report(state: DaemonState, report: LoadReport, now: float) -> None:
     """Take a host's report, which makes this host a collector of its domain."""
     collecting = state.collecting
-    if state.policy.reporting != "by_domain":
+    _refresh_members(state, now)
+    if not collecting.is_summed:
         return
     collecting.asked_at = now
     collecting.uses += report.uses
@@ -217,8 +218,9 @@
         for name, known in state.list_live_hosts(now).items()
         if known.record.peer_address
     ]
-    chosen = REPORTING_POLICIES.find(state.policy.reporting)(own, others)
-    collecting.receivers = tuple(item.address for item in chosen)
+    plan = REPORTING_POLICIES.find(state.policy.reporting)(own, others)
+    collecting.is_summed = plan.is_summed
+    collecting.receivers = tuple(item.address for item in plan.receivers)
     domains: dict[str, list[Member]] = {}
     for item in others:
         domains.setdefault(item.failure_domain, []).append(item)
--- a/packages/geraniumhall-core/src/geraniumhall_core/summaries.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/summaries.py
@@ -41,25 +41,34 @@
     link_rate: float = 0.0
 
 
-ReportingPolicy = Callable[[Member, Sequence[Member]], tuple[Member, ...]]
+@attrs.frozen(kw_only=True)
+class ReportingPlan:
+    """Who gets a host's reports, and whether the receivers sum them up for others."""
+
+    receivers: tuple[Member, ...]
+    is_summed: bool = False
+
+
+ReportingPolicy = Callable[[Member, Sequence[Member]], ReportingPlan]
 REPORTING_POLICIES: Registry[str, ReportingPolicy] = Registry("reporting policy")
 
 
 @REPORTING_POLICIES.register("sampled")
-def report_to_sample(own: Member, others: Sequence[Member]) -> tuple[Member, ...]:
+def report_to_sample(own: Member, others: Sequence[Member]) -> ReportingPlan:
     """Report to a stable sample of all hosts: the baseline.
 
     What the hosts outside the sample do is estimated from it.
     """
-    return sample_members(own.host, others)
+    return ReportingPlan(receivers=sample_members(own.host, others))
 
 
 @REPORTING_POLICIES.register("by_domain")
-def report_to_collectors(own: Member, others: Sequence[Member]) -> tuple[Member, ...]:
+def report_to_collectors(own: Member, others: Sequence[Member]) -> ReportingPlan:
     """Report to the collectors of the host's own failure domain."""
     domain = [item for item in others if item.failure_domain == own.failure_domain]
     collectors = rank_collectors([own, *domain])[:COLLECTORS_PER_DOMAIN]
-    return tuple(item for item in collectors if item.host != own.host)
+    receivers = tuple(item for item in collectors if item.host != own.host)
+    return ReportingPlan(receivers=receivers, is_summed=True)
 
 
 def sample_members(host: str, others: Sequence[Member]) -> tuple[Member, ...]:
@@ -225,6 +234,7 @@
     speeds: list[SpeedSample] = attrs.field(factory=list)
     foreign_speeds: list[SpeedSample] = attrs.field(factory=list)
     reported: dict[str, ForeignWork] = attrs.field(factory=dict)
+    is_summed: bool = False
     is_collecting: bool = False
     members_until: float = float("-inf")
     receivers: tuple[str, ...] = ()
--- a/packages/geraniumhall-core/tests/test_summaries.py
+++ b/packages/geraniumhall-core/tests/test_summaries.py
@@ -47,7 +47,7 @@
         for own in domain:
             others = [item for item in members if item != own]
             with self.subTest(own.host):
-                receivers = set(report_to_collectors(own, others))
+                receivers = set(report_to_collectors(own, others).receivers)
                 self.assertEqual(receivers, collectors - {own})
 
     def test_hosts_with_fast_links_collect(self) -> None:
@@ -59,7 +59,8 @@
     def test_sample_does_not_grow_with_the_hosts(self) -> None:
         """The baseline reports to sixteen hosts of however many."""
         others = [build_member(f"h{n}") for n in range(200)]
-        self.assertEqual(len(report_to_sample(build_member("own"), others)), 16)
+        plan = report_to_sample(build_member("own"), others)
+        self.assertEqual(len(plan.receivers), 16)
 
 
 class SummaryViewTest(unittest.TestCase):
