--- a/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
+++ b/packages/geraniumhall-cli/src/geraniumhall_cli/explanations.py
@@ -107,6 +107,18 @@
     return f"refused, {line['code']}: {line['reason']}; catalogue age {age} s"
 
 
+@EVENT_FORMATTERS.register("admission_decided")
+def format_admission(line: Line) -> str:
+    """Format why a request waited for room or was refused for lack of it."""
+    decided = "waits for room" if line["outcome"] == "wait" else "refused, no room"
+    return (
+        f"{decided}: room in {line['room_in']} s, the first event {line['first_in']} s"
+        f" and the last {line['last_in']} s after it is sent, {line['time_left']} s"
+        f" left; {line['running']} requests run on {line['server']}, by the reports of"
+        f" {line['reporting_hosts']} of {line['other_hosts']} other hosts"
+    )
+
+
 @EVENT_FORMATTERS.register("crash_attributed")
 def format_crash(line: Line) -> str:
     """Format which parts of the prompt a crash is held against."""
@@ -170,7 +182,31 @@
         f" {line['own_waiting']} of this host and {line['foreign_waiting']} of others"
         f"{_format_reporters(line)},"
         f" {line['running']} requests running; first event expected within"
-        f" {line['expected']} s"
+        f" {line['expected']} s{_format_kept(line)}{_format_speed(line)}"
+    )
+
+
+def _format_kept(line: Line) -> str:
+    """Return what the engine keeps of the prompt, if the line says so."""
+    if not line.get("kept_tokens"):
+        return ""
+    source = line.get("fetches_from")
+    fetched = f" after a fetch from {source}" if source else ""
+    copy = (
+        f", another copy priced at {line['copy_price']} s" if line["copy_price"] else ""
+    )
+    return f"; keeps {line['kept_tokens']} tokens{fetched}{copy}"
+
+
+def _format_speed(line: Line) -> str:
+    """Return the speed of an engine that differs from the usual one."""
+    speeds = (line.get("read_speed", 1.0), line.get("decode_speed", 1.0))
+    failing = line.get("failing", 0.0)
+    if speeds == (1.0, 1.0) and not failing:
+        return ""
+    return (
+        f"; {speeds[0]} times as fast in prefill and {speeds[1]} in decode as usual,"
+        f" fails {failing} of its requests"
     )
 
 
