--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
@@ -23,6 +23,7 @@
 RECORDS_RETRY_SECONDS = 2.0
 RELAYED_FEEDS = (Feed.CONFIGURATION, Feed.SERVERS)
 OWN_READ_FRACTION = 0.8  # of the age at which a host becomes unready
+OWN_READ_PAUSES = 2.0  # of the longest pause between reads of the servers
 FOLLOWER_WAIT_SECONDS = 0.05
 FOLLOWER_RETRY_SECONDS = 1.0
 READER_PAUSE_SECONDS = 0.5  # between reads of servers, which change together
@@ -154,7 +155,7 @@
     if not is_reader(state, now):
         return FOLLOWER_WAIT_SECONDS
     age = now - state.feeds[feed].confirmed_at
-    left = state.policy.unready_after * OWN_READ_FRACTION - age
+    left = compute_own_read_age(state, feed) - age
     return max(FOLLOWER_WAIT_SECONDS, min(state.policy.watch_wait, left))
 
 
@@ -178,6 +179,17 @@
             log.restart(until)
 
 
+def compute_own_read_age(state: DaemonState, feed: Feed) -> float:
+    """Return the age in seconds at which a follower reads a feed itself.
+
+    The configuration has to be confirmed before the host becomes unready. Of the servers
+    only changes matter, which have to be known within the drain bound.
+    """
+    if feed is Feed.SERVERS:
+        return state.policy.servers_max_pause * OWN_READ_PAUSES
+    return state.policy.unready_after * OWN_READ_FRACTION
+
+
 def _is_unproven(state: DaemonState, feed: Feed, now: float) -> bool:
-    bound = state.policy.unready_after * OWN_READ_FRACTION
-    return now - state.feeds[feed].confirmed_at > bound
+    age = now - state.feeds[feed].confirmed_at
+    return age > compute_own_read_age(state, feed)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
@@ -19,8 +19,8 @@
 from geraniumhall_core.effects import LogField, SendToPeers, WriteLog
 from geraniumhall_core.events import PeerMessageReceived
 from geraniumhall_core.handlers.confirmations import (
-    OWN_READ_FRACTION,
     RELAYED_FEEDS,
+    compute_own_read_age,
     is_reader,
     list_readers,
 )
@@ -219,5 +219,5 @@
 
 def _is_useful(state: DaemonState, proof: CopyProof) -> bool:
     """Return whether a proof was applied and is fresh enough to stay ready by it."""
-    is_fresh = proof.age <= state.policy.unready_after * OWN_READ_FRACTION
+    is_fresh = proof.age <= compute_own_read_age(state, proof.feed)
     return is_fresh and proof.feed not in state.relay.differing
