Judge a reader by its proof of the configuration

Cause: with the longer bound for the servers, an answer whose configuration was too old still counted as useful, so a refused reader was left out too late (test_refused_hosts_find_one_that_is_served).

Change: an answer is useful if its proof of the configuration is fresh.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/confirmations.py
@@ -182,8 +182,8 @@
 def compute_own_read_age(state: DaemonState, feed: Feed) -> float:
     """Return the age in seconds at which a follower reads a feed itself.
 
-    The configuration has to be confirmed before the host becomes unready. Of the servers
-    only changes matter, which have to be known within the drain bound.
+    The configuration has to be confirmed before the host becomes unready. Of the
+    servers only changes matter, which have to be known within the drain bound.
     """
     if feed is Feed.SERVERS:
         return state.policy.servers_max_pause * OWN_READ_PAUSES
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
@@ -218,6 +218,6 @@
 
 
 def _is_useful(state: DaemonState, proof: CopyProof) -> bool:
-    """Return whether a proof was applied and is fresh enough to stay ready by it."""
+    """Return whether a proof is fresh enough for this host to stay ready by it."""
     is_fresh = proof.age <= compute_own_read_age(state, proof.feed)
-    return is_fresh and proof.feed not in state.relay.differing
+    return is_fresh and proof.feed is Feed.CONFIGURATION
