--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -49,6 +49,8 @@
             LogField("decode_speed", round(speed.decode, 2)),
             LogField("failing", round(speed.failing, 2)),
             LogField("rank", record.rank),
+            LogField("time_left", round(record.deadline - now, 4)),
+            LogField("is_repeat", record.is_repeat),
         ),
     )
 
@@ -86,7 +88,7 @@
             LogField("is_repeat", record.is_repeat),
             LogField("running", load.outstanding + foreign.requests),
             LogField("refused_before", round(refused_before, 3)),
-            LogField("reporting_hosts", len(state.reports.latest)),
+            LogField("reporting_hosts", state.count_reporting_hosts()),
             LogField("other_hosts", state.live_hosts - 1),
         ),
     )
