Refuse what would begin after its caller has left, and mark fewer repeats

Cause: callers leave a stream without a first event after two seconds, four objectives or eight pauses, which is less than the deadline; in_time looked at the deadline only.

--- a/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/catalogue.py
@@ -73,11 +73,13 @@
     """Latency objectives of an entry, in seconds.
 
     `first_answer` is the time to the first event of a stream, or to the complete
-    response; `gap` is the longest pause between events.
+    response; `gap` is the longest pause between events. Callers leave a stream of
+    which they have got nothing for `patience`.
     """
 
     first_answer: float | None = None
     gap: float | None = None
+    patience: float | None = None
 
 
 @RECORD_KINDS.register("entry")
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -49,6 +49,8 @@
             LogField("decode_speed", round(speed.decode, 2)),
             LogField("failing", round(speed.failing, 2)),
             LogField("rank", record.rank),
+            LogField("time_left", round(record.deadline - now, 4)),
+            LogField("is_repeat", record.is_repeat),
         ),
     )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/room.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/room.py
@@ -1,5 +1,7 @@
 """The room at backend servers: who has some, and when a request would be answered."""
 
+from math import inf
+
 from geraniumhall_core.handlers.access import is_open
 from geraniumhall_core.limits import DemandMeter
 from geraniumhall_core.orders import ServerRole
@@ -103,6 +105,7 @@
         first_objective=None if objective is None else objective - held,
         first_seconds=first,
         last_seconds=last,
+        patience_left=_find_patience(state, record) - held,
         wait_seconds=_compute_wait(state, record, server, now),
         hold_left=bound * HELD_FRACTION - held,
         is_busy=_is_busy(state, server),
@@ -232,6 +235,12 @@
     return entry.objectives.first_answer if entry else None
 
 
+def _find_patience(state: DaemonState, record: RequestRecord) -> float:
+    entry = state.catalogue.entries.get(record.entry)
+    patience = entry.objectives.patience if entry else None
+    return inf if patience is None else patience
+
+
 def _compute_size(record: RequestRecord) -> float:
     request = record.request
     return request.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.max_tokens
--- a/packages/geraniumhall-core/src/geraniumhall_core/overload.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/overload.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from math import inf
 
 import attrs
 
@@ -28,7 +29,8 @@
 class AdmissionQuery:
     """A request and the room that it would find; all times are in seconds.
 
-    `time_left` is the time until its deadline, and `hold_left` how much longer this
+    `time_left` is the time until its deadline, `patience_left` that until its caller
+    leaves if no event has come, and `hold_left` how much longer this
     host may keep it waiting. `first_objective` is the time left of its objective for
     the first event, None without one. `first_seconds` and `last_seconds` are the
     expected times until its first and its last event if it is sent now.
@@ -41,6 +43,7 @@
     first_objective: float | None
     first_seconds: float
     last_seconds: float
+    patience_left: float = inf
     wait_seconds: float = 0.0
     hold_left: float = 0.0
     is_busy: bool = False
@@ -59,16 +62,17 @@
 
 @ADMISSION_POLICIES.register("in_time")
 def admit_in_time(query: AdmissionQuery) -> AdmissionVerdict:
-    """Admit what can be answered before its deadline, and let it wait for room.
+    """Admit what its caller would get in time, and let it wait for room.
 
     It answers the load of too many requests for too little room. What would end after
-    its deadline takes the engines' time from others and is refused while its caller
-    can still do something else. An estimate alone refuses nothing at a server that
-    isn't busy. A request waits here only as long as room is expected within the time
-    that it may be held (test_overload).
+    its deadline, or begin after its caller has left, takes the engines' time from
+    others and is refused while its caller can still do something else. An estimate
+    alone refuses nothing at a server that isn't busy. A request waits here only as long
+    as room is expected within the time that it may be held (test_overload).
     """
     is_full = query.wait_seconds > 0
     is_late = query.wait_seconds + query.last_seconds > query.time_left
+    is_late |= query.wait_seconds + query.first_seconds > query.patience_left
     if is_late and (is_full or query.is_busy):
         return AdmissionVerdict.REJECT
     if not is_full:
--- a/packages/geraniumhall-core/src/geraniumhall_core/pace.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/pace.py
@@ -2,12 +2,14 @@
 
 import attrs
 
-DECAY = 0.95  # of what was observed before, with each observation
-MIN_WEIGHT = 4.0  # observations, of about 20 at most
+DECAY = 0.85  # of what was observed before, with each observation
+MIN_WEIGHT = 3.0  # observations, of about 7 at most
 MIN_FACTOR = 0.05
 MAX_FACTOR = 10.0
 MEAN_WEIGHT = 0.05  # of the newest request in the mean size
-REPEAT_MARGIN_SECONDS = 0.02  # between the deadlines that callers first set
+# First attempts come with unlike deadlines, since callers count from their own start.
+REPEAT_MARGIN_SECONDS = 0.1
+REPEAT_MARGIN_FRACTION = 0.05  # of the longest timeout
 TIMEOUT_DECAY = 0.999  # of the longest timeout, with each request
 
 
@@ -77,9 +79,12 @@
         """Return whether a request's caller has used up part of its time before.
 
         A caller that comes back states what is left of its time, which is less than
-        first attempts are given.
+        first attempts are given. One that comes back sooner than first attempts
+        differ can't be told from them.
         """
         if timeout is None:
             return False
-        margin = max(REPEAT_MARGIN_SECONDS, (1 - TIMEOUT_DECAY) * self.longest_timeout)
-        return timeout < self.longest_timeout * TIMEOUT_DECAY - margin
+        margin = max(
+            REPEAT_MARGIN_SECONDS, REPEAT_MARGIN_FRACTION * self.longest_timeout
+        )
+        return timeout < self.longest_timeout - margin
--- a/packages/geraniumhall-core/src/geraniumhall_core/room.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/room.py
@@ -15,6 +15,7 @@
 
 from geraniumhall_core.registry import Registry
 
+PLENTY_FACTOR = 2.0  # free slots for each request that isn't known of
 REPORT_DELAY_SECONDS = 0.25  # until most hosts know of a request that one has sent
 
 
@@ -65,14 +66,17 @@
     """Use a server's last free slots with the chance that this host's request fits.
 
     It answers the load in which many hosts see one free engine. Requests that others
-    have sent and this host does not know of yet contend for its slots. If they are
-    more than the free slots, each host uses the server with the chance at which the
-    slots suffice, so that none fills what another has just filled. A host that draws
-    no server uses one by its share of all free slots (test_overload).
+    have sent and this host does not know of yet contend for its slots. If all servers
+    together have fewer free slots than twice these, each host uses a server with the
+    chance at which its slots suffice, so that none fills what another has just filled.
+    A host that draws no server uses one by its share of all free slots (test_overload).
     """
     open_rooms = [room for room in rooms if room.refused_seconds <= 0]
     unknown_seconds = min(REPORT_DELAY_SECONDS, query.answer_seconds)
     contenders = max(1.0, query.arrivals * unknown_seconds)
+    free = sum(room.free for room in open_rooms)
+    if open_rooms and free >= PLENTY_FACTOR * contenders:
+        return [room.name for room in open_rooms if room.free or not room.slots]
     drawn = [
         room.name
         for index, room in enumerate(open_rooms)
@@ -81,7 +85,7 @@
     ]
     if drawn or not open_rooms:
         return drawn or [room.name for room in rooms]
-    if not any(room.free for room in open_rooms):
+    if not free:
         return [room.name for room in open_rooms]
     return [_draw_by_free_slots(open_rooms, query.draw)]
 
