--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/request_logs.py
@@ -88,7 +88,7 @@
             LogField("is_repeat", record.is_repeat),
             LogField("running", load.outstanding + foreign.requests),
             LogField("refused_before", round(refused_before, 3)),
-            LogField("reporting_hosts", len(state.reports.latest)),
+            LogField("reporting_hosts", state.count_reporting_hosts()),
             LogField("other_hosts", state.live_hosts - 1),
         ),
     )
--- a/packages/geraniumhall-core/tests/test_overload.py
+++ b/packages/geraniumhall-core/tests/test_overload.py
@@ -116,12 +116,13 @@
         )
         for number in range(servers)
     ]
-    one = (VersionedRecord(key, Revision(number=1), configuration),)
-    apply_feed_answer(state, Feed.CONFIGURATION, Listing(Revision(number=1), one))
-    apply_feed_answer(
-        state, Feed.SERVERS, Listing(Revision(number=servers), tuple(listed))
-    )
-    apply_feed_answer(state, Feed.RECORDS, Listing(Revision(number=1), ()))
+    listings = {
+        Feed.CONFIGURATION: (VersionedRecord(key, Revision(number=1), configuration),),
+        Feed.SERVERS: tuple(listed),
+        Feed.RECORDS: (),
+    }
+    for feed, objects in listings.items():
+        apply_feed_answer(state, feed, Listing(Revision(number=servers), objects))
     return state
 
 
