Take a request that asks for a token out of those that wait for room

A waiting request whose servers had closed meanwhile asked other hosts for a token and stayed in the queue for room, so the next look for room would have begun a second attempt beside it. Found by reading; the test failed before.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/attempts.py
@@ -486,6 +486,7 @@
         yield from refuse_accepted(state, record, refusal)
         return
     record.phase = Phase.ASKING
+    state.overload.stop_waiting(record.service, record.request.request_id)
     yield asking
 
 
--- a/packages/geraniumhall-core/tests/test_overload.py
+++ b/packages/geraniumhall-core/tests/test_overload.py
@@ -34,9 +34,12 @@
     HoldEnded,
     PeerMessageReceived,
     RequestArrived,
+    ResponseStarted,
     Ticked,
 )
 from geraniumhall_core.fairness import FAIR_TURN, RoomQueue
+from geraniumhall_core.hosts import HostRecord
+from geraniumhall_core.notices import Incarnation, ReceivedNotice, ServerNotice
 from geraniumhall_core.overload import (
     ADMISSION_POLICIES,
     AdmissionQuery,
@@ -48,7 +51,7 @@
 from geraniumhall_core.records import ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.reports import LoadReport, ServerWork
-from geraniumhall_core.requests import AttemptOutcome, CallerRequest, PathTarget
+from geraniumhall_core.requests import AttemptOutcome, CallerRequest, PathTarget, Phase
 from geraniumhall_core.returns import RETURN_POLICIES
 from geraniumhall_core.revisions import Revision
 from geraniumhall_core.room import ROOM_POLICIES, RoomQuery, ServerRoom
@@ -259,6 +262,28 @@
         self.assertEqual(list_relays(reduce(state, tick)), [])
         self.assertEqual(state.requests, {})
 
+    def test_waiting_request_that_asks_for_a_token_waits_no_more(self) -> None:
+        """A limit named meanwhile lets it ask other hosts, and only that."""
+        state = build_host(peer_address="10.0.0.1:7000", **IN_TIME)
+        record = HostRecord(
+            failure_domain="a", incarnation=1, sequence=1, peer_address="10.0.0.2:7000"
+        )
+        state.hosts.observe("h2", record, NOW)
+        turn_away(state)
+        arrive(state, "next")
+        notice = ReceivedNotice(
+            source=Incarnation("s0", 0),
+            sent_at=NOW,
+            notice=ServerNotice(request_limit=0.5),
+        )
+        started = ResponseStarted(
+            at=NOW, request_id="none", attempt_id="none", wall_time=NOW, notice=notice
+        )
+        reduce(state, started)
+        reduce(state, Ticked(at=NOW + 0.12, wall_time=NOW, draws=DRAWS))
+        self.assertIs(state.requests["next"].phase, Phase.ASKING)
+        self.assertEqual(state.overload.count_waiting(), 0)
+
     def test_waiting_request_is_answered_in_a_drain(self) -> None:
         """A host that stops refuses what waits, and loses nothing."""
         state = build_host(**IN_TIME)
