--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -57,7 +57,7 @@
     read_timeout: float = 30.0
     idle_timeout: float = 60.0
     min_progress: int = 1024
-    progress_window: float = 10.0
+    progress_window: float = 12.0
 
 
 LimitsSource = Callable[[], ServerLimits]  # the class itself gives the defaults
@@ -312,8 +312,7 @@
                 if chunks % PACED_CHUNKS == 0:
                     await self._resources.pace.spend(PACED_CHUNKS)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                rest = len(self._http.trailing_data[0])
-                self._count_request(_measure_head(head) + len(body), rest)
+                self._count_request(_measure_head(head) + len(body))
                 self.share.enter(HoldingKind.RUNNING)
                 self._request_scope = None
                 age = trio.current_time() - self._read_at
@@ -335,11 +334,12 @@
         self._http.receive_data(received.data)
         return bool(received.data)
 
-    def _count_request(self, size: int, rest: int = 0) -> None:
+    def _count_request(self, size: int) -> None:
         """Count a request's parsed bytes instead of those that it was sent in.
 
-        `rest` are bytes of the next request, which the parser holds too.
+        The parser may hold more: the start of a chunk, or of the next request.
         """
+        rest = len(self._http.trailing_data[0])
         self.share.add(size + rest - self._request_size - self._parsing)
         self._request_size = size
         self._parsing = rest
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -111,7 +111,7 @@
     idle_timeout: Seconds = Seconds(60.0)
     min_progress: ByteCount = ByteCount(2**10)
     progress_window: Seconds = attrs.field(
-        default=Seconds(10.0), validator=validators.gt(Seconds(0))
+        default=Seconds(12.0), validator=validators.gt(Seconds(0))
     )
     max_chunk_rate: float = attrs.field(default=20_000.0, validator=validators.gt(0))
     memory: ByteCount = ByteCount(0)
