--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
@@ -45,11 +45,14 @@
         }
         write_log("warning", "caller_memory", fields)
 
-    def record_limit(self, name: str, detail: str) -> None:
-        """Record that a connection met another limit, such as `paced`."""
+    def record_limit(self, name: str, peer: str = "") -> None:
+        """Record that a connection met another limit, such as `paced`.
+
+        A refusal's reason is left out, since it may quote the request.
+        """
         self.metrics.count(f"caller_limits.{name}")
         if self._is_due(name):
-            write_log("warning", "caller_limit", {"limit": name, "detail": detail})
+            write_log("warning", "caller_limit", {"limit": name, "peer": peer})
 
     def _is_due(self, name: str) -> bool:
         now = trio.current_time()
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/callers.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/callers.py
@@ -59,7 +59,7 @@
     request_id = daemon.generate_request_id()
     call = daemon.front.parse_call(request_id, received.head, received.body)
     if isinstance(call, Refusal):
-        daemon.limit_log.record_limit(call.code, call.reason)
+        daemon.limit_log.record_limit(call.code)
         is_draining = daemon.state.is_draining
         await send_refusal(daemon, connection, call, close=is_draining)
         return not is_draining
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -141,7 +141,7 @@
             budget=budget,
             pace=ParsingPace(
                 settings.callers.max_chunk_rate,
-                on_wait=lambda: limit_log.record_limit("paced", "chunks of a body"),
+                on_wait=lambda: limit_log.record_limit("paced"),
             ),
             limit_log=limit_log,
         )
@@ -150,7 +150,8 @@
         """Apply new settings to the platform's driver, the policy and new requests.
 
         What was built at the start stays as it is: bound addresses, the front,
-        the pool of connections to backend servers and the export of metrics.
+        the pool of connections to backend servers, the budget of memory and the
+        export of metrics.
         """
         if settings.platform != self.settings.platform:
             self.platform = _build_driver(settings, self.connector)
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
@@ -61,7 +61,7 @@
     if received is None:
         return False
     if isinstance(received, Refusal):
-        daemon.limit_log.record_limit(received.code, received.reason)
+        daemon.limit_log.record_limit(received.code)
         await send_refusal(daemon, connection, received, close=True)
         return False
     may_continue = await handler(daemon, connection, received)
--- a/packages/geraniumhall-daemon/tests/test_budgets.py
+++ b/packages/geraniumhall-daemon/tests/test_budgets.py
@@ -69,7 +69,7 @@
             log = LimitLog(metrics)
             for _ in range(3):
                 log.record_decision("delayed", Holding())
-            log.record_limit("paced", "chunks")
+            log.record_limit("paced")
 
         run(test)
         text = metrics.encode().decode()
