Put large requests back only where they miss their objective

Change: size decides only between requests that miss their objective anyway, and a repeat's deadline is shorter by 0.15 of the longest.

--- a/packages/geraniumhall-core/src/geraniumhall_core/pace.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/pace.py
@@ -9,7 +9,7 @@
 MEAN_WEIGHT = 0.05  # of the newest request in the mean size
 # First attempts come with unlike deadlines, since callers count from their own start.
 REPEAT_MARGIN_SECONDS = 0.1
-REPEAT_MARGIN_FRACTION = 0.05  # of the longest timeout
+REPEAT_MARGIN_FRACTION = 0.15  # of the longest timeout
 TIMEOUT_DECAY = 0.999  # of the longest timeout, with each request
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/urgency.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/urgency.py
@@ -56,8 +56,8 @@
     """Rank by priority, then by what the engines' time gains for the caller.
 
     Within a priority, a request that can still meet its objective comes before one
-    that can't, and a short one before a large one, since a large one gains less for
-    each second of an engine. A repeat comes after first attempts. A request whose
+    that can't, and of those that can't a short one before a large one, since a large
+    one gains less for each second of an engine. A repeat comes last. A request whose
     deadline is near comes first, so that a large or late one is still served. It
     answers long prompts beside short ones (test_overload).
     """
@@ -68,7 +68,9 @@
 
 
 def _rank_within_priority(query: UrgencyQuery) -> int:
-    left = query.objective_left
-    if query.is_repeat or (left is not None and left < query.first_seconds):
+    if query.is_repeat:
         return 2
-    return 1 if query.size > LARGE_FACTOR else 0
+    left = query.objective_left
+    if left is None or left >= query.first_seconds:
+        return 0
+    return 2 if query.size > LARGE_FACTOR else 1
