--- a/packages/geraniumhall-core/tests/test_confirmations.py
+++ b/packages/geraniumhall-core/tests/test_confirmations.py
@@ -1,8 +1,9 @@
-"""Tests of the calls to the store that a host leaves out under a sparing policy."""
+"""Tests of the confirmation policies: calls left out, and proofs of readers."""
 
 import unittest
 from typing import Any
 
+import attrs
 from builders import (
     LISTED_AT,
     NOW,
@@ -22,8 +23,9 @@
     ServiceClass,
     Workspace,
 )
+from geraniumhall_core.copies import CopyAnswer, CopyProof, SentQuery
 from geraniumhall_core.effects import CallPlatform
-from geraniumhall_core.events import Ticked
+from geraniumhall_core.events import PeerMessageReceived, Ticked
 from geraniumhall_core.handlers.confirmations import (
     WRITE_SPREAD_FRACTION,
     compute_records_pause,
@@ -231,6 +233,71 @@
         self.assertNotIn("h2", state.list_live_hosts(NOW + 3.1 * WINDOW_SECONDS))
 
 
+class ProofTest(unittest.TestCase):
+    """A reader's answer confirms a copy as of when the question was sent."""
+
+    def setUp(self) -> None:
+        """Let a follower ask host h2, with its copies at revision 100."""
+        self.state = build_sparing()
+        self.state.policy = attrs.evolve(self.state.policy, confirmation="relayed")
+        self.state.relay.queries[7] = SentQuery("h2", 5.0)
+        self.feed = self.state.feeds[Feed.CONFIGURATION]
+
+    def answer(
+        self, revision: Revision, changed_at: Revision | None = None, **fields: Any
+    ) -> None:
+        """Receive an answer at 9 s that proves the configuration with an age of 1 s."""
+        proof = CopyProof(
+            feed=Feed.CONFIGURATION,
+            revision=revision,
+            changed_at=changed_at or revision,
+            age=1.0,
+            after=revision,
+        )
+        known = {"host": "h2", "incarnation": 1, "number": 7} | fields
+        message = CopyAnswer(**known, proofs=(proof,))
+        reduce(
+            self.state, PeerMessageReceived(at=9.0, message=message, draws=(0.5, 0.5))
+        )
+
+    def test_same_copy_is_confirmed_as_of_the_question(self) -> None:
+        """The age of the reader's copy is subtracted, and the answer's way is not."""
+        self.answer(Revision(number=105), Revision(number=90))
+        self.assertEqual(self.feed.confirmed_at, 4.0)
+        self.assertEqual(self.feed.revision, Revision(number=105))
+
+    def test_newer_copy_is_read_from_the_store(self) -> None:
+        """A change of the configuration that the follower lacks confirms nothing."""
+        self.answer(Revision(number=105))
+        self.assertEqual(self.feed.confirmed_at, LISTED_AT)
+        self.assertIn(Feed.CONFIGURATION, self.state.relay.differing)
+
+    def test_other_eras_prove_nothing(self) -> None:
+        """A reader of an earlier or later era of the store confirms no copy."""
+        self.feed.revision = Revision(2, 100)
+        self.answer(Revision(1, 100))
+        self.assertNotIn(Feed.CONFIGURATION, self.state.relay.differing)
+        self.state.relay.queries[7] = SentQuery("h2", 5.0)
+        self.answer(Revision(3, 90))
+        self.assertIn(Feed.CONFIGURATION, self.state.relay.differing)
+        self.assertEqual(self.feed.confirmed_at, LISTED_AT)
+
+    def test_answers_to_other_questions_prove_nothing(self) -> None:
+        """Another number, host or incarnation is no answer to this question."""
+        for fields in ({"number": 6}, {"host": "h3"}, {"incarnation": 2}):
+            with self.subTest(**fields):
+                self.state.relay.queries[7] = SentQuery("h2", 5.0)
+                self.answer(Revision(number=100), **fields)
+                self.assertEqual(self.feed.confirmed_at, LISTED_AT)
+
+    def test_question_is_answered_once(self) -> None:
+        """A repeated answer finds no question."""
+        self.answer(Revision(number=100))
+        self.feed.confirmed_at = LISTED_AT
+        self.answer(Revision(number=100))
+        self.assertEqual(self.feed.confirmed_at, LISTED_AT)
+
+
 class LeaseTest(unittest.TestCase):
     """A candidate for the lease watches it in old answers, and acts on exact ones."""
 
