Spread requests over engines that are about as good

Change: kept_prompt, and the choice of the engine that decodes where speeds are learned, draw among the engines within 0.3 of the least price, the likelier the less it is.

Ruled out: probabilities that fall exponentially (an engine that clearly loses was still taken now and then, and hosts no longer began a wanted beginning on one engine).

--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -34,7 +34,7 @@
     EngineView,
     Plan,
     PlanQuery,
-    choose_earliest,
+    choose_among_close,
     estimate_lateness,
     estimate_loss,
     estimate_read_cost,
@@ -188,14 +188,19 @@
         _Candidate.from_engine(engine, query, delay, False)
         for engine, delay in zip(decode_engines, decode_delays, strict=True)
     ]
-    options = [_weigh_reading(candidate, situation) for candidate in candidates]
-    if may_fetch:
-        options += [
-            _weigh_fetching(candidate, situation)
-            for candidate in candidates
-            if _can_fetch(candidate, situation)
-        ]
-    return choose_earliest(options, lambda option: option.price, query.draw).plan
+    options = [_weigh_ways(item, situation, may_fetch) for item in candidates]
+    return choose_among_close(options, lambda option: option.price, query.draw).plan
+
+
+def _weigh_ways(
+    candidate: _Candidate, situation: _Situation, may_fetch: bool
+) -> Option:
+    """Return the better one of reading and fetching."""
+    reading = _weigh_reading(candidate, situation)
+    if not may_fetch or not _can_fetch(candidate, situation):
+        return reading
+    fetching = _weigh_fetching(candidate, situation)
+    return fetching if fetching.price < reading.price else reading
 
 
 def _can_fetch(candidate: _Candidate, situation: _Situation) -> bool:
--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -42,6 +42,9 @@
 LATE_ANSWER_SECONDS = 1.0
 # Up to this part of an objective, an answer is in time though its engine stalls.
 SAFE_OBJECTIVE_FRACTION = 0.4
+# Estimates of hosts err by this part, as they hear of each other's work late.
+ESTIMATE_ERROR_FRACTION = 0.3
+MIN_ESTIMATE_ERROR_SECONDS = 0.005
 # Prefill of a token behind this many others costs twice that of the first token.
 ATTENTION_DOUBLING_TOKENS = 74_000
 
@@ -220,6 +223,8 @@
         running_delay = estimate_running_delay(engine, memory_tokens)
         return running_delay + estimate_stream_delay(engine, pace) + network_delay
 
+    if pace.event_seconds:
+        return choose_among_close(decode_engines, estimate, draw)
     return choose_earliest(decode_engines, estimate, draw)
 
 
@@ -312,6 +317,29 @@
     return tied[int(draw * len(tied))]
 
 
+def choose_among_close(
+    options: Sequence[Chosen], estimate: Callable[[Chosen], float], draw: float
+) -> Chosen:
+    """Return an option by `draw`, the likelier the less its estimate in seconds.
+
+    An engine that is a little better than the others, by what all hosts know of speeds
+    and caches, would get the requests of all of them until they hear of each other's.
+    The likelihoods fall to zero at a distance of `ESTIMATE_ERROR_FRACTION` from the
+    least estimate.
+    """
+    weighed = sorted(((estimate(o), n) for n, o in enumerate(options)))
+    least = weighed[0][0]
+    reach = max(MIN_ESTIMATE_ERROR_SECONDS, least * ESTIMATE_ERROR_FRACTION)
+    close = [(1 - (value - least) / reach, n) for value, n in weighed]
+    close = [(weight, n) for weight, n in close if weight > 0]
+    rest = draw * sum(weight for weight, _ in close)
+    for weight, number in close:
+        rest -= weight
+        if rest < 0:
+            return options[number]
+    return options[close[0][1]]
+
+
 def estimate_running_delay(engine: EngineView, memory_tokens: int) -> float:
     """Return the delay of a new request by running ones, in seconds."""
     delay = engine.requests * RUNNING_REQUEST_DELAY_SECONDS / engine.speed.decode
--- a/packages/geraniumhall-core/tests/test_kept_prompts.py
+++ b/packages/geraniumhall-core/tests/test_kept_prompts.py
@@ -6,6 +6,7 @@
 """
 
 import unittest
+from collections import Counter
 from collections.abc import Callable, Sequence
 from heapq import heappop, heappush
 from random import Random
@@ -150,6 +151,19 @@
         }
         self.assertEqual(len(started), 1)
 
+    def test_hosts_do_not_all_take_the_fastest_engine(self) -> None:
+        """Many hosts that hear of no work yet spread over engines of similar speed."""
+        engines = [
+            build_engine(f"p{number}", speed=EngineSpeed(prefill=1 + number / 50))
+            for number in range(6)
+        ]
+        hosts = 60
+        chosen = Counter(
+            self.choose(*engines, shared_prefix_tokens=0, draw=number / hosts).server
+            for number in range(hosts)
+        )
+        self.assertLess(max(chosen.values()), hosts / 3)
+
     def test_beginning_is_fetched_by_an_idle_engine(self) -> None:
         """While its holder is busy, a copy of it is fetched, not read again."""
         holder = build_engine("p1", SHARED_TOKENS, queued_prefill_tokens=50_000)
