--- a/packages/geraniumhall-core/src/geraniumhall_core/planning.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/planning.py
@@ -43,8 +43,8 @@
 # Up to this part of an objective, an answer is in time though its engine stalls.
 SAFE_OBJECTIVE_FRACTION = 0.4
 # Estimates of hosts err by this part, as they hear of each other's work late.
-ESTIMATE_ERROR_FRACTION = 0.3
-MIN_ESTIMATE_ERROR_SECONDS = 0.005
+ESTIMATE_ERROR_FRACTION = 0.1
+MIN_ESTIMATE_ERROR_SECONDS = 0.003
 # Prefill of a token behind this many others costs twice that of the first token.
 ATTENTION_DOUBLING_TOKENS = 74_000
 
