--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/cluster.py
@@ -41,17 +41,26 @@
 from geraniumhall_core.handlers import REDUCER
 from geraniumhall_core.orders import OrderOutcome
 from geraniumhall_core.performers import Performers
-from geraniumhall_core.platform import DutyMessage, PlatformAnswer, PlatformFailure
+from geraniumhall_core.platform import (
+    DutyMessage,
+    PlatformAnswer,
+    PlatformFailure,
+    PutObject,
+)
 from geraniumhall_core.platform_model import (
     PLATFORM,
     AnswerCall,
     CallReceived,
     ClockAdvanced,
     PlatformState,
+    StoreCopied,
+    StoreRewound,
 )
 from geraniumhall_core.policy import Policy
+from geraniumhall_core.records import ObjectKey
 from geraniumhall_core.reducer import Event
 from geraniumhall_core.requests import CallerRequest
+from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -149,6 +158,25 @@
         if both_ways:
             self.blocked_links.add((target, source))
 
+    def write_object(self, key: ObjectKey, record: Any) -> None:
+        """Write an object whatever its version, as others than hosts do."""
+        current = self.platform.objects.get(key)
+        expected = current.version if current else NO_REVISION
+        call_id = next(self._ids)
+        self._pending_platform_calls[call_id] = _discard_answer
+        message = PutObject(key, record, expected)
+        self._apply_to_platform(
+            CallReceived(at=self.now, call_id=call_id, message=message)
+        )
+
+    def copy_store(self) -> None:
+        """Make the copy from which `rewind_store` brings the platform's store back."""
+        self._apply_to_platform(StoreCopied(at=self.now))
+
+    def rewind_store(self) -> None:
+        """Bring the platform's store back from its copy, in the next era."""
+        self._apply_to_platform(StoreRewound(at=self.now))
+
     def heal(self) -> None:
         """Unblock all links."""
         self.blocked_links.clear()
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/simulation/performers.py
@@ -39,7 +39,7 @@
     ServerProbed,
 )
 from geraniumhall_core.notices import ReceivedNotice
-from geraniumhall_core.platform import PlatformAnswer
+from geraniumhall_core.platform import PlatformAnswer, check_era
 from geraniumhall_core.requests import AttemptOutcome
 from geraniumhall_core.verdict import Verdict
 
@@ -62,7 +62,7 @@
                     called_at=called_at,
                     wall_time=at,
                     purpose=effect.purpose,
-                    answer=answer,
+                    answer=check_era(effect.message, answer),
                     draws=cluster.draw(),
                 ),
             )
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/copies.py
@@ -24,7 +24,11 @@
     is_reader,
     list_readers,
 )
-from geraniumhall_core.handlers.feeds import apply_relayed, resume_feeds
+from geraniumhall_core.handlers.feeds import (
+    apply_relayed,
+    lacks_configuration,
+    resume_feeds,
+)
 from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS
 from geraniumhall_core.platform import Changes, Feed
 from geraniumhall_core.reducer import Effect
@@ -169,7 +173,9 @@
     feed = state.feeds[held.feed]
     deferred = state.deferred
     is_deferring = bool(deferred.deletions) or now < deferred.until
-    if not feed.has_synced or (held.feed is Feed.SERVERS and is_deferring):
+    if not feed.has_synced or not feed.revision.number:
+        return None
+    if held.feed is Feed.SERVERS and is_deferring:
         return None
     log = state.relay.get_log(held.feed)
     revision = feed.revision
@@ -211,10 +217,11 @@
         return
     state.relay.differing.discard(proof.feed)
     feed.revision = max(feed.revision, proof.revision)
-    feed.confirmed_at = max(feed.confirmed_at, asked_at - proof.age)
+    confirmed_at = asked_at - proof.age
+    if not lacks_configuration(state, proof.feed):
+        feed.confirmed_at = max(feed.confirmed_at, confirmed_at)
     # The store was up then, so registrations of servers could be renewed.
-    contact_at = max(state.platform_contact_at, asked_at - proof.age)
-    state.platform_contact_at = contact_at
+    state.platform_contact_at = max(state.platform_contact_at, confirmed_at)
 
 
 def _is_useful(state: DaemonState, proof: CopyProof) -> bool:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/edits.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/edits.py
@@ -12,6 +12,7 @@
 from geraniumhall_core.platform import (
     Conflict,
     DeleteObject,
+    EraChanged,
     GetObject,
     ObjectFound,
     ObjectMissing,
@@ -41,7 +42,7 @@
         yield AnswerAdmin(call_id=event.call_id, answer=fault)
         return
     message = PutObject(command.key, command.record, command.expected_version)
-    yield call_platform(event, message)
+    yield _start_edit(state, event, message)
 
 
 @COMMAND_HANDLERS.register(DeleteRecord)
@@ -49,7 +50,8 @@
     state: DaemonState, event: AdminCalled, command: DeleteRecord
 ) -> Iterator[Effect]:
     """Delete a record from the platform."""
-    yield call_platform(event, DeleteObject(command.key, command.expected_version))
+    message = DeleteObject(command.key, command.expected_version)
+    yield _start_edit(state, event, message)
 
 
 @ANSWER_HANDLERS.register(ServeAdmin)
@@ -95,6 +97,20 @@
     yield from _complete_edit(state, purpose.call_id, message, resolved, event.at)
 
 
+def _start_edit(
+    state: DaemonState, event: AdminCalled, message: PutObject | DeleteObject
+) -> Effect:
+    """Return the effect that writes an edit, or that refuses one of an earlier era.
+
+    The store would compare the number of its condition only.
+    """
+    expected, era = message.expected_version, state.era.number
+    if expected != NO_REVISION and expected.era < era:
+        answer = PlatformResult(EraChanged(era=era))
+        return AnswerAdmin(call_id=event.call_id, answer=answer)
+    return call_platform(event, message)
+
+
 def _read_back(
     call_id: int, message: PutObject | DeleteObject, attempt: int
 ) -> CallPlatform:
@@ -121,6 +137,8 @@
 
 
 def _is_outcome_unknown(answer: PlatformAnswer) -> bool:
+    if isinstance(answer, EraChanged):
+        return True
     if not isinstance(answer, PlatformFailure):
         return False
     return answer.verdict is not Verdict.NOT_RUN
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -6,10 +6,11 @@
 control lease and the usage seals.
 """
 
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from math import ceil
 
 from geraniumhall_core.catalogue import (
+    CONFIGURATION_KEY,
     CONFIGURATION_KIND,
     EDITABLE_KINDS,
     REGISTERED_SERVER_KIND,
@@ -17,6 +18,7 @@
     infer_deletions,
 )
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
+from geraniumhall_core.eras import find_known, stays_in_force
 from geraniumhall_core.events import DaemonStarted, PlatformAnswered
 from geraniumhall_core.handlers.access import is_leaving
 from geraniumhall_core.handlers.confirmations import (
@@ -30,14 +32,18 @@
     record_answer,
     rest_feed,
 )
+from geraniumhall_core.handlers.eras import ERA_HANDLERS
 from geraniumhall_core.handlers.leases import observe_lease
 from geraniumhall_core.handlers.limits import refresh_buckets
-from geraniumhall_core.handlers.part_records import observe_part
+from geraniumhall_core.handlers.orders import observe_intents
+from geraniumhall_core.handlers.part_records import observe_part, restore_parts
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.handlers.publishing import (
     discard_sealed_usage,
     observe_hosts,
     restore_from_record,
+    resume_publishing,
+    select_newer_hosts,
 )
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.handlers.restrictions import ask_for_restrictions
@@ -58,7 +64,6 @@
 from geraniumhall_core.records import DELETED, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.retries import compute_backoff
-from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState, FeedState
 
 CONFIGURATION_WAIT_FACTOR = 2.0
@@ -72,6 +77,8 @@
 RECONFIRM_WAIT_SECONDS = 0.05  # after a failure
 SERVERS_PAUSE_SECONDS = 0.5
 RECORDS_PER_READ = 20  # on average
+RELIST_SPREAD_SECONDS = 0.5
+MAX_LOGGED_OBJECTS = 20
 KINDS_BY_FEED = {
     Feed.CONFIGURATION: (CONFIGURATION_KIND,),
     Feed.SERVERS: (REGISTERED_SERVER_KIND,),
@@ -94,6 +101,8 @@
     feed = state.feeds[purpose.feed]
     answer = event.answer
     _record_contact(state, event)
+    if purpose.series != feed.series:
+        return
     if not isinstance(answer, Listing | Changes):
         yield from _handle_feed_failure(state, purpose.feed, feed, event)
         return
@@ -110,11 +119,12 @@
     since = feed.confirmed_at
     exact_until = min(feed.exact_until, feed.confirmed_at)
     feed.exact_until = float("inf") if purpose.is_exact else exact_until
-    feed.confirmed_at = max(feed.confirmed_at, _date_answer(event, purpose))
     feed.revision = max(feed.revision, answer.revision)
+    yield from _apply_answer(state, purpose.feed, answer, event.at, since)
+    if not lacks_configuration(state, purpose.feed):
+        feed.confirmed_at = max(feed.confirmed_at, _date_answer(event, purpose))
     if purpose.feed is Feed.RECORDS and not is_first:
         state.excuse_silence(feed.confirmed_at - since)
-    yield from _apply_answer(state, purpose.feed, answer, event.at, since)
     if is_first:
         yield from ask_for_restrictions(state, event.at, event.draws[0])
     if not state.has_buckets:
@@ -125,6 +135,25 @@
     yield _request_feed(state, purpose.feed, event.at, pause)
 
 
+@ERA_HANDLERS.register("feeds")
+def list_feeds_anew(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
+    """Request a listing of every feed, and ignore the calls that are under way.
+
+    What was known stays in force meanwhile, with its age running. Hosts learn of an
+    era at the same time; the long listings of their records are spread.
+    """
+    state.deferred.until = max(
+        state.deferred.until, event.at + state.policy.lapse_grace
+    )
+    spread = event.draws[0] * RELIST_SPREAD_SECONDS * state.interval_factor
+    for feed, feed_state in state.feeds.items():
+        feed_state.series += 1
+        feed_state.revision = state.era.absent_version
+        state.relay.resting.discard(feed)
+        delay = spread if feed is Feed.RECORDS else 0.0
+        yield _request_feed(state, feed, event.at, delay)
+
+
 def apply_edit(
     state: DaemonState, change: VersionedRecord, now: float
 ) -> Iterator[Effect]:
@@ -157,16 +186,26 @@
         yield from _apply_changes(state, deletions, now)
 
 
+def use_held_back(state: DaemonState, now: float) -> Iterator[Effect]:
+    """Use the servers that were gone before a rewind and are still registered.
+
+    The store has removed those that are really gone by then.
+    """
+    if state.era.held_back and now >= state.era.held_until:
+        held, state.era.held_back = state.era.held_back, {}
+        yield from _apply_changes(state, list(held.values()), now)
+
+
 def _request_feed(
     state: DaemonState, feed: Feed, now: float, delay: float = 0.0
 ) -> CallPlatform:
     message: PlatformMessage = ListObjects(feed)
-    revision, wait, is_exact = state.feeds[feed].revision, 0.0, True
-    if revision != NO_REVISION:
+    feed_state, wait, is_exact = state.feeds[feed], 0.0, True
+    if feed_state.revision.number:
         wait = _choose_watch_wait(state, feed, now)
         is_exact = not reads_stale(state, feed, now)
-        message = WatchObjects(feed, revision, wait, is_exact)
-    purpose = FollowFeed(feed, wait, is_exact)
+        message = WatchObjects(feed, feed_state.revision, wait, is_exact)
+    purpose = FollowFeed(feed, wait, is_exact, feed_state.series)
     return CallPlatform(purpose=purpose, message=message, delay=delay)
 
 
@@ -223,7 +262,7 @@
     state: DaemonState, feed: Feed, feed_state: FeedState, event: PlatformAnswered
 ) -> Iterator[Effect]:
     if isinstance(event.answer, HistoryGone):
-        feed_state.revision = NO_REVISION
+        feed_state.revision = state.era.absent_version
         yield _log_feed("info", "feed_history_gone", feed)
         yield _request_feed(state, feed, event.at)
         return
@@ -263,14 +302,77 @@
     if isinstance(answer, Listing):
         listed = {*unusable, *(item.key for item in changes)}
         kinds = KINDS_BY_FEED[feed]
-        changes += infer_deletions(state.catalogue, kinds, answer.revision, listed)
+        changes += infer_deletions(
+            state.catalogue, kinds, answer.revision, listed | state.era.kept
+        )
+    is_new_era = isinstance(answer, Listing) and _begins_era(state, feed, answer)
+    if is_new_era:
+        changes = yield from _carry_over(state, feed, changes, now)
     if feed is Feed.SERVERS:
         changes = _defer_deletions(state, changes, now)
     if feed is Feed.RECORDS:
+        if is_new_era:
+            resume_publishing(state, changes, now)
+            changes, listed = select_newer_hosts(state, changes), None
         observe_hosts(state, changes, listed, now, since)
         observe_lease(state, changes, now)
+        observe_intents(state, changes)
         discard_sealed_usage(state, changes)
-    yield from _apply_changes(state, changes, now)
+    yield from _apply_changes(state, changes, now, is_new_era)
+    if feed is Feed.RECORDS and is_new_era:
+        restore_parts(state, now)
+
+
+def _begins_era(state: DaemonState, feed: Feed, listing: Listing) -> bool:
+    """Return whether a listing is the first one of an era that this process met."""
+    feed_state = state.feeds[feed]
+    previous, feed_state.listed_era = feed_state.listed_era, listing.era
+    return feed_state.has_synced and listing.era > previous
+
+
+def lacks_configuration(state: DaemonState, feed: Feed) -> bool:
+    """Return whether the store lacks the configuration that is in force here."""
+    return feed is Feed.CONFIGURATION and CONFIGURATION_KEY in state.era.kept
+
+
+def _carry_over(
+    state: DaemonState, feed: Feed, changes: list[VersionedRecord], now: float
+) -> Generator[Effect, None, list[VersionedRecord]]:
+    """Return those of the copy's objects that replace what is known."""
+    era, catalogue = state.era, state.catalogue
+    kept: list[str] = []
+    adopted: list[VersionedRecord] = []
+    for found in changes:
+        known = None
+        if found.key.kind in catalogue.tables:
+            known = find_known(catalogue, found.key)
+        if known is None or not stays_in_force(known, found, found.key in era.kept):
+            adopted.append(found)
+            continue
+        kept.append(f"{found.key.kind}/{found.key.name}")
+        _keep(state, known, found, now)
+    yield _log_era_listed(state, feed, kept, len(adopted))
+    return adopted
+
+
+def _keep(
+    state: DaemonState, known: VersionedRecord, found: VersionedRecord, now: float
+) -> None:
+    """Keep what is known, until the object is written in the new era.
+
+    A server that was gone is used again if it is still registered after the silence
+    for which the store keeps one.
+    """
+    era, versions = state.era, state.catalogue.versions
+    is_gone_server = found.key.kind == REGISTERED_SERVER_KIND
+    if is_gone_server and known.record is DELETED:
+        era.held_back[found.key] = found
+        era.held_until = now + state.policy.min_lapse_outage + state.policy.lapse_grace
+        versions[found.key] = era.absent_version
+        return
+    era.kept.add(found.key)
+    is_absent = found.record is DELETED
+    versions[found.key] = era.absent_version if is_absent else found.version
 
 
 def _defer_deletions(
@@ -302,12 +404,18 @@
 
 
 def _apply_changes(
-    state: DaemonState, changes: list[VersionedRecord], now: float
+    state: DaemonState,
+    changes: list[VersionedRecord],
+    now: float,
+    is_copy: bool = False,
 ) -> Iterator[Effect]:
+    """Apply changes to the catalogue, with `is_copy` those of a new era's listing."""
     applied = apply_changes(state.catalogue, changes)
+    for key in applied:
+        state.era.settle(key)
     for change in changes:
         if change.key.kind == PART_KIND and change.key in applied:
-            yield from observe_part(state, change, now)
+            yield from observe_part(state, change, now, is_copy)
     if not applied:
         return
     newest = max(state.catalogue.versions[key] for key in applied)
@@ -363,6 +471,20 @@
     return max(0.0, event.called_at + pause - event.at)
 
 
+def _log_era_listed(
+    state: DaemonState, feed: Feed, kept: list[str], adopted: int
+) -> WriteLog:
+    state.counters["eras.kept_objects"] += len(kept)
+    fields = (
+        LogField("era", state.era.number),
+        LogField("feed", feed.value),
+        LogField("adopted", adopted),
+        LogField("kept", len(kept)),
+        LogField("objects", " ".join(sorted(kept)[:MAX_LOGGED_OBJECTS])),
+    )
+    return WriteLog(level="info", event="store_era_listed", fields=fields)
+
+
 def _find_configuration_version(state: DaemonState) -> int:
     configuration = state.catalogue.configuration
     return configuration.version if configuration else 0
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/leases.py
@@ -6,6 +6,7 @@
 
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import PlatformAnswered
+from geraniumhall_core.handlers.eras import ERA_HANDLERS
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.leases import Lease
 from geraniumhall_core.platform import (
@@ -88,6 +89,18 @@
             lease.observe(item, now)
 
 
+@ERA_HANDLERS.register("lease")
+def suspend_lease(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
+    """Stop acting under a lease of an earlier era of the store.
+
+    Another host may hold one that the store has lost, until its own clock ends it.
+    """
+    if find_held_term(state, event.at) is not None:
+        fields = (LogField("term", state.lease.term), LogField("reason", "new era"))
+        yield WriteLog(level="warning", event="lease_lost", fields=fields)
+    state.lease.begin_era(state.era.number)
+
+
 def step_down(state: DaemonState, now: float) -> Iterator[Effect]:
     """Give up the current term after the platform has seen a higher one."""
     if find_held_term(state, now) is not None:
@@ -110,7 +123,9 @@
         return
     lease.release()
     lease.is_calling = True
-    free = Lease(host="", incarnation=0, term=lease.term, renewal=0)
+    free = Lease(
+        host="", incarnation=0, term=lease.term, renewal=0, era=state.era.number
+    )
     message = PutObject(LEASE_KEY, free, lease.version)
     yield CallPlatform(purpose=ReleaseLease(), message=message)
 
@@ -123,16 +138,18 @@
     lease = state.lease
     lease.is_calling = False
     answer = event.answer
+    written = purpose.written
     if not purpose.is_exact:
         yield from _evaluate_old_lease(state, answer, event.at)
-    elif isinstance(answer, Written) and purpose.written is not None:
-        yield from _mark_held(state, answer.version, purpose.written)
+    elif isinstance(answer, Written) and written and written.era == state.era.number:
+        yield from _mark_held(state, answer.version, written)
     elif isinstance(answer, Conflict):
         yield from _mark_lost(state, event.at)
-        lease.observe(answer.current, event.at)
+        lease.observe(answer.current, event.at, answer.era)
     elif isinstance(answer, ObjectMissing):
-        lease.observe(None, event.at)
-        yield _write_lease(state, lease.term + 1, event.at)
+        lease.observe(None, event.at, answer.era)
+        if _has_outwaited(state, state.era.began_at, event.at):
+            yield _write_lease(state, lease.compute_next_term(), event.at)
     elif isinstance(answer, ObjectFound):
         lease.observe(answer.object, event.at)
         yield from _evaluate_lease(state, event.at)
@@ -185,10 +202,11 @@
     record = lease.record
     assert record is not None
     policy = state.policy
-    if (record.host, record.incarnation) == (policy.host, policy.incarnation):
+    is_own = (record.host, record.incarnation) == (policy.host, policy.incarnation)
+    if is_own and record.era == state.era.number:
         yield from _mark_held(state, lease.version, record)
     if find_held_term(state, now) is None and _is_free(state, record, now):
-        yield _write_lease(state, record.term + 1, now)
+        yield _write_lease(state, lease.compute_next_term(), now)
 
 
 def _is_free(state: DaemonState, record: Lease, now: float) -> bool:
@@ -198,15 +216,25 @@
     not hold therefore belongs to an earlier process, or has expired. A call of
     an earlier process may still arrive, which only a platform that checks fencing
     tokens rejects.
+
+    A lease that was written in an earlier era of the store tells nothing of its latest
+    holder. The longest that one can act counts from when this host learned of the era.
     """
     policy = state.policy
+    if record.era != state.era.number:
+        since = max(state.lease.first_seen_at, state.era.began_at)
+        return _has_outwaited(state, since, now)
     is_released = not record.host
     is_own = (record.host, record.incarnation) == (policy.host, policy.incarnation)
     is_predecessor = record.host == policy.host and policy.checks_fencing
     if is_released or is_own or is_predecessor:
         return True
-    waited = now - state.lease.first_seen_at
-    return waited >= policy.lease_ttl + policy.lease_margin
+    return _has_outwaited(state, state.lease.first_seen_at, now)
+
+
+def _has_outwaited(state: DaemonState, since: float, now: float) -> bool:
+    """Return whether a lease that was held until `since` has expired at `now`."""
+    return now - since >= state.policy.lease_ttl + state.policy.lease_margin
 
 
 def _mark_held(
@@ -263,6 +291,7 @@
         incarnation=state.policy.incarnation,
         term=term,
         renewal=lease.start_write(now),
+        era=state.era.number,
     )
     message = PutObject(LEASE_KEY, record, lease.version)
     return CallPlatform(purpose=MaintainLease(record), message=message)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/lifecycle.py
@@ -20,7 +20,7 @@
 from geraniumhall_core.handlers.borrowing import expire_rounds
 from geraniumhall_core.handlers.confirmations import is_reader
 from geraniumhall_core.handlers.copies import confirm_copies
-from geraniumhall_core.handlers.feeds import apply_deferred_deletions
+from geraniumhall_core.handlers.feeds import apply_deferred_deletions, use_held_back
 from geraniumhall_core.handlers.grants import expire_grant_rounds
 from geraniumhall_core.handlers.leases import maintain_lease, release_lease
 from geraniumhall_core.handlers.limits import refresh_buckets
@@ -61,6 +61,7 @@
     yield from expire_rounds(state, event.at, event.draws)
     yield from expire_grant_rounds(state, event.at, event.draws)
     yield from apply_deferred_deletions(state, event.at)
+    yield from use_held_back(state, event.at)
     yield from confirm_copies(state, event.at)
     expire_reports(state, event.at)
     expire_summaries(state, event.at)
@@ -168,6 +169,8 @@
             Metric("requests.open", len(state.requests)),
             Metric("requests.waiting", waiting),
             Metric("hosts.live", state.live_hosts),
+            Metric("store.era", state.era.number),
+            Metric("store.kept_objects", len(state.era.kept)),
             Metric("objects.unusable", count_unusable(state)),
             Metric("parts.held", state.quarantine.count_held()),
             Metric("parts.suspected", len(state.quarantine.parts)),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/orders.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/orders.py
@@ -17,6 +17,7 @@
     OrderOutcome,
     OrderState,
     compute_fencing_token,
+    find_latest,
     may_replace,
 )
 from geraniumhall_core.platform import (
@@ -27,11 +28,12 @@
     Written,
 )
 from geraniumhall_core.purposes import ReadIntent, RecordOutcome, WriteIntent
-from geraniumhall_core.records import ObjectKey, VersionedRecord
+from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
-from geraniumhall_core.revisions import NO_REVISION, Revision
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 
+INTENT_KIND = "intent"
 ORDER_INTERVAL_SECONDS = 2.0
 ORDER_TIMEOUT_SECONDS = 5.0
 
@@ -60,6 +62,18 @@
         )
 
 
+def observe_intents(state: DaemonState, changes: list[VersionedRecord]) -> None:
+    """Remember the intents of a feed, which the store may lose in a rewind."""
+    for item in changes:
+        if item.key.kind != INTENT_KIND:
+            continue
+        if item.record is DELETED:
+            state.intents.pop(item.key.name, None)
+        else:
+            known = state.intents.get(item.key.name, item.record)
+            state.intents[item.key.name] = find_latest(item.record, known)
+
+
 @ANSWER_HANDLERS.register(ReadIntent)
 def handle_intent_read(
     state: DaemonState, event: PlatformAnswered, purpose: ReadIntent
@@ -71,10 +85,18 @@
     desired = state.catalogue.desired_roles.get(purpose.server)
     if term is None or desired is None:
         return
+    known = state.intents.get(purpose.server) if state.era.number else None
     if isinstance(event.answer, ObjectMissing):
-        yield from _start_order(state, purpose.server, desired, term, None, NO_REVISION)
+        intent, version = known, state.era.absent_version
     elif isinstance(event.answer, ObjectFound):
-        found = event.answer.object
+        version, intent = event.answer.object.version, event.answer.object.record
+        intent = find_latest(intent, known or intent)
+    else:
+        return
+    if intent is None:
+        yield from _start_order(state, purpose.server, desired, term, None, version)
+    else:
+        found = VersionedRecord(_build_intent_key(purpose.server), version, intent)
         yield from _reconcile_intent(
             state, purpose.server, desired, term, found, event.at
         )
@@ -104,7 +126,8 @@
 
     An order whose outcome is unknown may still arrive. Its token stays
     doubtful, also if the same order is accepted later. Nothing is recorded for an
-    intent that is already doubtful or that another process issued.
+    intent that is already doubtful or that another process issued, or in another era
+    of the store than that of the intent.
     """
     order = state.orders[event.server]
     order.is_sending = False
@@ -124,6 +147,9 @@
     if not event.intent.is_issued_by(state.policy.host, state.policy.incarnation):
         return
     answered = attrs.evolve(event.intent, status=status)
+    state.intents[event.server] = answered
+    if event.version.era != state.era.number:
+        return
     message = PutObject(_build_intent_key(event.server), answered, event.version)
     order.is_calling = True
     yield CallPlatform(purpose=RecordOutcome(event.server), message=message)
@@ -173,6 +199,7 @@
         fencing_token=compute_fencing_token(term, previous),
         host=state.policy.host,
         incarnation=state.policy.incarnation,
+        era=state.era.number,
     )
     state.orders[server].is_calling = True
     message = PutObject(_build_intent_key(server), intent, version)
@@ -204,4 +231,4 @@
 
 
 def _build_intent_key(server: str) -> ObjectKey:
-    return ObjectKey("intent", server)
+    return ObjectKey(INTENT_KIND, server)
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/part_records.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/part_records.py
@@ -7,8 +7,11 @@
 
 from collections.abc import Iterator
 
+from xxhash import xxh32_intdigest
+
 from geraniumhall_core.effects import CallPlatform, LogField, SendToPeers, WriteLog
 from geraniumhall_core.events import PeerMessageReceived, PlatformAnswered
+from geraniumhall_core.handlers.eras import ERA_HANDLERS
 from geraniumhall_core.handlers.part_logs import log_hold, log_release
 from geraniumhall_core.handlers.peers import PEER_MESSAGE_HANDLERS, list_peers
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
@@ -24,10 +27,10 @@
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
 from geraniumhall_core.requests import RequestRecord
-from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState
 
 WRITE_RETRY_SECONDS = 0.5
+RESTORE_SPREAD_SECONDS = 1.0
 CLAIM_TIMEOUT_SECONDS = 1.0
 
 
@@ -39,7 +42,7 @@
     The store accepts the claim of one host only.
     """
     known = state.quarantine.parts[part]
-    if known.hold is None or known.get_wait(now) != 0.0 or known.version == NO_REVISION:
+    if known.hold is None or known.get_wait(now) != 0.0 or not known.version.number:
         return None
     if known.is_writing or state.compute_catalogue_age(now) > state.policy.stale_after:
         return None
@@ -70,9 +73,9 @@
 
 
 def observe_part(
-    state: DaemonState, change: VersionedRecord, now: float
+    state: DaemonState, change: VersionedRecord, now: float, is_copy: bool = False
 ) -> Iterator[Effect]:
-    """Adopt what the store says of a part.
+    """Adopt what the store says of a part, with `is_copy` in the copy of a new era.
 
     Knowledge of this host that is not stored yet stays and is written again.
     """
@@ -81,13 +84,44 @@
     if change.version <= known.version:
         return
     if change.record is DELETED:
-        known.version = NO_REVISION
+        known.version = state.era.absent_version
         if not known.is_dirty:
             yield from _apply_deletion(known, part, now)
         return
     known.record_stored(change.version, change.record)
-    if _merge_record(known, change.record, now):
+    if _merge_record(known, change.record, now, is_copy):
         yield log_hold(part, known, "the store's record", now)
+    known.is_dirty = known.is_dirty and known.build_record() != change.record
+
+
+@ERA_HANDLERS.register("parts")
+def suspend_claims(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
+    """Write no part and claim no trial until the records of the era were listed."""
+    for known in state.quarantine.parts.values():
+        known.is_dirty = known.is_dirty or known.version.number > 0
+        known.version = state.era.absent_version
+        known.next_write_at = float("inf")
+    yield from ()
+
+
+def restore_parts(state: DaemonState, now: float) -> None:
+    """Write what the store has lost of parts again, after its records were listed.
+
+    The hosts that saw a part's crashes write at once, the others later, each at another
+    time, unless the record is back by then.
+    """
+    for part, known in state.quarantine.parts.items():
+        stored = None
+        if known.version.number:
+            stored = state.catalogue.tables[PART_KIND].get(part)
+        is_due = known.is_dirty or stored is not None
+        known.is_dirty = is_due and known.build_record() != stored
+        known.next_write_at = now
+        crashes = known.crashes.values()
+        if not any(crash.host == state.policy.host for crash in crashes):
+            place = xxh32_intdigest(f"{state.policy.host}/{part}") / 2**32
+            spread = RESTORE_SPREAD_SECONDS * state.interval_factor
+            known.next_write_at += spread * (1 + place)
 
 
 def _apply_deletion(known: PartState, part: str, now: float) -> Iterator[Effect]:
@@ -98,12 +132,19 @@
         yield log_release(part, hold, "the store's record")
 
 
-def _merge_record(known: PartState, record: PartRecord, now: float) -> bool:
-    """Merge a stored record; return whether it brought a hold."""
+def _merge_record(
+    known: PartState, record: PartRecord, now: float, is_copy: bool = False
+) -> bool:
+    """Merge a stored record; return whether it brought a hold.
+
+    A hold in the copy of a new era that has been released meanwhile stays released.
+    """
     for crash in record.crashes:
         known.add_crash(crash, now)
     if record.hold is None:
         return False
+    if is_copy and record.hold.number <= known.released:
+        return False
     if record.hold.source == "operator" and known.hold != record.hold:
         known.hold, known.held_at, known.changed_at = record.hold, now, now
         return True
@@ -133,7 +174,7 @@
     """Write the records of parts that are due, and drop old evidence."""
     for part in state.quarantine.list_outdated(state.policy.host, now):
         known = state.quarantine.parts[part]
-        if known.version != NO_REVISION:
+        if known.version.number:
             known.forget(now)
             known.is_dirty = True
         elif not known.is_writing:
@@ -151,11 +192,9 @@
     not have read it yet.
     """
     stored = state.catalogue.tables[PART_KIND].get(part)
-    if (
-        stored is None
-        or known.build_record() is not None
-        or known.version == NO_REVISION
-    ):
+    if stored is None or not known.version.number:
+        return False
+    if known.build_record() is not None:
         return False
     return any(crash.host == state.policy.host for crash in stored.crashes)
 
@@ -169,7 +208,7 @@
         return
     record = known.build_record()
     key = ObjectKey(PART_KIND, part)
-    if record is None and known.version == NO_REVISION:
+    if record is None and not known.version.number:
         known.is_dirty = False
         return
     message: PlatformMessage = DeleteObject(key, known.version)
@@ -205,9 +244,7 @@
 ) -> Iterator[Effect]:
     known = state.quarantine.parts[part]
     current = conflict.current
-    known.record_stored(
-        current.version if current else NO_REVISION, current.record if current else None
-    )
+    known.record_stored(conflict.version, current.record if current else None)
     if current is not None and _merge_record(known, current.record, now):
         yield log_hold(part, known, "the store's record", now)
     stored = current.record if current else None
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/platform.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/platform.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from geraniumhall_core.events import PlatformAnswered
+from geraniumhall_core.handlers.eras import observe_era, replace_outdated
 from geraniumhall_core.handlers.reducer import REDUCER
 from geraniumhall_core.purposes import FollowFeed, Purpose
 from geraniumhall_core.reducer import Effect
@@ -16,10 +17,14 @@
 
 @REDUCER.handles(PlatformAnswered)
 def receive_answer(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
-    """Dispatch an answer by the purpose of its call, and count the call."""
+    """Dispatch an answer by the purpose of its call, and count the call.
+
+    An answer of an earlier era of the store than a known one confirms nothing.
+    """
     state.counters[f"platform.{_name_purpose(event.purpose)}"] += 1
+    yield from observe_era(state, event)
     handler = ANSWER_HANDLERS.find(type(event.purpose))
-    yield from handler(state, event, event.purpose)
+    yield from handler(state, replace_outdated(state, event), event.purpose)
 
 
 def _name_purpose(purpose: Purpose) -> str:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/publishing.py
@@ -12,6 +12,7 @@
     WRITE_RETRY_SECONDS,
     compute_write_delay,
 )
+from geraniumhall_core.handlers.eras import ERA_HANDLERS
 from geraniumhall_core.handlers.platform import ANSWER_HANDLERS
 from geraniumhall_core.hosts import Demand, HostRecord
 from geraniumhall_core.limits import DemandMeter
@@ -19,7 +20,6 @@
 from geraniumhall_core.purposes import SEALS_KEY, PublishHost
 from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.reducer import Effect
-from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState
 
 HOST_KIND = "host"
@@ -33,7 +33,7 @@
     publishing = state.publishing
     if publishing.is_calling or now < publishing.next_call_at:
         return
-    if not state.all_feeds_synced:
+    if publishing.awaits_listing or not state.all_feeds_synced:
         return
     yield write_host_record(state, now, wall_time)
 
@@ -84,8 +84,7 @@
         publishing.version = event.answer.version
         publishing.confirm(event.at, state.policy.stale_after)
     elif isinstance(event.answer, Conflict):
-        current = event.answer.current
-        publishing.version = current.version if current else NO_REVISION
+        publishing.version = event.answer.version
         publishing.next_call_at = event.at
     elif state.is_sparing:
         retry_at = event.at + WRITE_RETRY_SECONDS
@@ -109,11 +108,56 @@
             _restore_demand(state, item.record, now)
 
 
+@ERA_HANDLERS.register("host record")
+def suspend_publishing(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
+    """Wait with this host's record for the listing of the new era.
+
+    Rates that other hosts may not have read before the store lost them count as not
+    published.
+    """
+    publishing = state.publishing
+    publishing.version = state.era.absent_version
+    publishing.awaits_listing = True
+    publishing.forget_recent(event.at, state.policy.stale_after)
+    yield from ()
+
+
+def resume_publishing(
+    state: DaemonState, listed: list[VersionedRecord], now: float
+) -> None:
+    """Write this host's record again at its next turn, or earlier if that is far off.
+
+    All hosts learn of the era at the same time, so each keeps to a place of its own.
+    """
+    own_key = _build_own_key(state)
+    for item in listed:
+        if item.key == own_key and item.record is not DELETED:
+            state.publishing.version = item.version
+    state.publishing.awaits_listing = False
+    place = xxh32_intdigest(state.policy.host) / 2**32
+    spread = state.policy.publish_interval * state.interval_factor
+    if state.publishing.next_call_at > now + spread:
+        state.publishing.next_call_at = now + place * spread
+
+
+def select_newer_hosts(
+    state: DaemonState, listed: list[VersionedRecord]
+) -> list[VersionedRecord]:
+    """Return the records without those of hosts that this host knows later ones of."""
+    return [
+        item
+        for item in listed
+        if item.key.kind != HOST_KIND
+        or item.record is DELETED
+        or not state.hosts.is_outdated(item.key.name, item.record)
+    ]
+
+
 def discard_sealed_usage(state: DaemonState, changes: list[VersionedRecord]) -> None:
     """Discard the usage of sealed windows, so that it is no longer published."""
     for item in changes:
         if item.key == SEALS_KEY and item.record is not DELETED:
-            state.usage.discard_sealed(item.record.last_window)
+            state.usage.observe_seals(item.record)
 
 
 def observe_hosts(
@@ -127,7 +171,7 @@
 
     `since` is when the previous copy was confirmed, in seconds; the records
     can't have changed before it. Hosts missing from a listing are removed; `listed`
-    holds what it names, and is None for a watch.
+    holds what it names, and is None for a watch and for the copy of a new era.
     """
     for item in changes:
         if item.key.kind != HOST_KIND or item.key.name == state.policy.host:
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/usage.py
@@ -6,6 +6,7 @@
 
 from geraniumhall_core.effects import CallPlatform, LogField, WriteLog
 from geraniumhall_core.events import PlatformAnswered
+from geraniumhall_core.handlers.eras import ERA_HANDLERS
 from geraniumhall_core.handlers.leases import (
     compute_authority_end,
     find_duty_term,
@@ -33,7 +34,6 @@
     SealWindow,
 )
 from geraniumhall_core.reducer import Effect
-from geraniumhall_core.revisions import NO_REVISION
 from geraniumhall_core.state import DaemonState, SealingState
 from geraniumhall_core.usage import WINDOWS_KEPT, UsageSeals, WindowUsage, sum_windows
 
@@ -62,16 +62,24 @@
         yield _start_call(sealing, ReadSeals(), GetObject(SEALS_KEY))
         return
     unreported = _find_unreported(sealing)
-    due = _find_due_window(state, sealing.seals, wall_time)
+    due = _find_due_window(state, wall_time)
     is_newest = bool(unreported) and unreported[0] is sealing.seals.windows[-1]
     if unreported and (is_newest or due is None):
         yield _report_window(state, unreported[0], term)
     elif due is not None:
         sealed = _sum_usage(state, due)
-        put = PutObject(SEALS_KEY, sealing.seals.add(sealed), sealing.version)
+        seals = sealing.seals.add(sealed, state.era.number)
+        put = PutObject(SEALS_KEY, seals, sealing.version)
         yield _start_call(sealing, SealWindow(sealed), put)
 
 
+@ERA_HANDLERS.register("usage seals")
+def forget_seals(state: DaemonState, event: PlatformAnswered) -> Iterator[Effect]:
+    """Read the seals again in the new era."""
+    state.sealing.seals = None
+    yield from ()
+
+
 @ANSWER_HANDLERS.register(ReadSeals)
 def handle_seals_read(
     state: DaemonState, event: PlatformAnswered, purpose: ReadSeals
@@ -84,14 +92,36 @@
     sealing = state.sealing
     sealing.is_calling = False
     if isinstance(event.answer, ObjectFound):
-        sealing.seals = event.answer.object.record
         sealing.version = event.answer.object.version
+        yield from _adopt_seals(state, event.answer.object.record)
     elif isinstance(event.answer, ObjectMissing):
-        sealing.seals = UsageSeals()
-        sealing.version = NO_REVISION
+        sealing.version = state.era.absent_version
+        yield from _adopt_seals(state, UsageSeals())
     else:
         sealing.next_call_at = event.at + RETRY_SECONDS
-    yield from ()
+
+
+def _adopt_seals(state: DaemonState, stored: UsageSeals) -> Iterator[Effect]:
+    """Adopt the store's seals; seals of an earlier era may lack the latest ones.
+
+    Those that this host has read are added. Any other window that was due when this
+    host learned of the era may have been sealed and reported: it is not sealed again.
+    """
+    sealing, era = state.sealing, state.era
+    sealing.seals, sealing.last_doubtful = stored, -1
+    if stored.era == era.number:
+        return
+    sealing.seals = stored.merge(state.usage.seals)
+    learned_at = era.began_wall_time + state.policy.lease_margin
+    sealing.last_doubtful = _find_latest_due(state, learned_at)
+    last = sealing.seals.last_window
+    fields = (
+        LogField("era", era.number),
+        LogField("restored", len(sealing.seals.windows) - len(stored.windows)),
+        LogField("last_known", -1 if last is None else last),
+        LogField("last_doubtful", sealing.last_doubtful),
+    )
+    yield WriteLog(level="info", event="usage_seals_restored", fields=fields)
 
 
 @ANSWER_HANDLERS.register(SealWindow)
@@ -105,7 +135,7 @@
         sealing.seals = None
         sealing.next_call_at = event.at + RETRY_SECONDS
         return
-    sealing.seals = sealing.seals.add(purpose.window)
+    sealing.seals = sealing.seals.add(purpose.window, state.era.number)
     sealing.version = event.answer.version
     fields = (
         *_build_window_fields(purpose.window),
@@ -160,9 +190,7 @@
     return attrs.evolve(call, expires_at=compute_authority_end(state))
 
 
-def _find_due_window(
-    state: DaemonState, seals: UsageSeals, wall_time: float
-) -> int | None:
+def _find_due_window(state: DaemonState, wall_time: float) -> int | None:
     """Return the next window to seal, or None if none is due.
 
     The first window ever sealed is the latest one that is due. After a long gap,
@@ -170,11 +198,13 @@
     is due once its grace period is over and every known host has published after
     its end, or after `MAX_SEAL_DELAY_FACTOR` times the grace period at the latest.
     """
-    usage = state.usage
+    usage, sealing = state.usage, state.sealing
+    assert sealing.seals is not None
     grace = state.policy.seal_grace
-    latest = usage.compute_window(wall_time - grace) - 1
-    last = seals.last_window
+    latest = _find_latest_due(state, wall_time)
+    last = sealing.seals.last_window
     first = latest if last is None else max(last + 1, latest - WINDOWS_KEPT + 2)
+    first = max(first, sealing.last_doubtful + 1)
     if first > latest:
         return None
     end = usage.compute_window_end(first)
@@ -182,6 +212,11 @@
     return first if is_late or _have_hosts_published(state, end) else None
 
 
+def _find_latest_due(state: DaemonState, wall_time: float) -> int:
+    """Return the latest window whose grace is over at `wall_time`."""
+    return state.usage.compute_window(wall_time - state.policy.seal_grace) - 1
+
+
 def _have_hosts_published(state: DaemonState, moment: float) -> bool:
     """Return whether all known hosts have published since `moment`.
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/hosts.py
@@ -92,6 +92,18 @@
         known.uncovered = 0.0
         known.demand_history.add(rates, since, propagation_bound)
 
+    def is_outdated(self, name: str, record: HostRecord) -> bool:
+        """Return whether a record is older than the known one of the same host.
+
+        The store has such a record if it came back from an older copy.
+        """
+        known = self.known.get(name)
+        if known is None:
+            return False
+        if known.record.incarnation != record.incarnation:
+            return record.published_at < known.record.published_at
+        return record.sequence < known.record.sequence
+
     def remove(self, name: str) -> None:
         """Remove a host whose record was deleted."""
         self.known.pop(name, None)
--- a/packages/geraniumhall-core/src/geraniumhall_core/leases.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/leases.py
@@ -12,6 +12,8 @@
 from geraniumhall_core.records import RECORD_KINDS, VersionedRecord
 from geraniumhall_core.revisions import NO_REVISION, Revision
 
+TERMS_PER_ERA = 1 << 32  # above the numbers of 100 days with 400 writes a second
+
 
 @RECORD_KINDS.register("lease")
 @attrs.frozen(kw_only=True)
@@ -20,13 +22,14 @@
 
     `renewal` numbers the holder's writes, so that a lease that is read back can be
     matched to the time at which its write was sent. A released lease has an
-    empty `host`.
+    empty `host`. `era` is that of the store in which it was written.
     """
 
     host: str
     incarnation: int
     term: int
     renewal: int
+    era: int = 0
 
 
 @attrs.define
@@ -52,9 +55,14 @@
     next_call_at: float = float("-inf")
     cooldown_until: float = float("-inf")
 
-    def observe(self, current: VersionedRecord | None, now: float) -> None:
-        """Update the view with the object that the platform holds, None if absent."""
-        version = current.version if current else NO_REVISION
+    def observe(
+        self, current: VersionedRecord | None, now: float, era: int = 0
+    ) -> None:
+        """Update the view with the object that the platform holds, None if absent.
+
+        `era` is that of the store which lacks it.
+        """
+        version = current.version if current else Revision(era)
         if version != self.version or self.record is None:
             self.first_seen_at = now
         self.version = version
@@ -88,3 +96,25 @@
     def release(self) -> None:
         """Stop holding the lease."""
         self.held_until = float("-inf")
+
+    def begin_era(self, era: int) -> None:
+        """Stop holding the lease, and forget what an earlier era of the store had."""
+        self.release()
+        self.written_at.clear()
+        self.version = Revision(era)
+        self.record = None
+
+    def compute_next_term(self) -> int:
+        """Return a term above all that were held before.
+
+        In era zero that is the one after the known term. In a later era the number of
+        the version that the new holder replaces is added to the first term of the era.
+        So a term lies above those of earlier eras, also of holders that nobody here
+        knows of, and above all earlier ones of its era, since that number rises with
+        each write of the lease.
+        """
+        known = max(self.term, self.record.term if self.record else 0)
+        if self.version.era:
+            first = self.version.era * TERMS_PER_ERA
+            known = max(known, first + self.version.number)
+        return known + 1
--- a/packages/geraniumhall-core/src/geraniumhall_core/orders.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/orders.py
@@ -59,13 +59,17 @@
 @RECORD_KINDS.register("intent")
 @attrs.frozen(kw_only=True)
 class OrderIntent:
-    """The last order for a backend server, with its sender and fencing token."""
+    """The last order for a backend server, with its sender and fencing token.
+
+    `era` is that of the store in which it was recorded.
+    """
 
     role: ServerRole
     fencing_token: int
     host: str
     incarnation: int
     status: IntentStatus = IntentStatus.OPEN
+    era: int = 0
 
     def is_issued_by(self, host: str, incarnation: int) -> bool:
         """Return whether the order was issued by that process of the host."""
@@ -97,6 +101,11 @@
     return max(term * FENCING_TOKENS_PER_TERM, lowest)
 
 
+def find_latest(stored: OrderIntent, known: OrderIntent) -> OrderIntent:
+    """Return the later of a stored intent and one that was read before a rewind."""
+    return known if known.fencing_token > stored.fencing_token else stored
+
+
 def may_replace(intent: OrderIntent | None, checks_fencing: bool) -> bool:
     """Return whether a different order may be sent after this intent."""
     return intent is None or intent.is_answered or checks_fencing
--- a/packages/geraniumhall-core/src/geraniumhall_core/parts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/parts.py
@@ -207,7 +207,7 @@
             return float("inf")
         lifetime = FORGET_SECONDS if self.hold is None else FORGET_HOLD_SECONDS
         is_own = any(crash.host == host for crash in self.crashes.values())
-        return lifetime if is_own or self.version == NO_REVISION else 2 * lifetime
+        return lifetime if is_own or not self.version.number else 2 * lifetime
 
     def forget(self, now: float) -> None:
         """Clear everything that is known."""
@@ -216,7 +216,7 @@
 
     def record_stored(self, version: Revision, record: PartRecord | None) -> None:
         """Record what the store holds; None if there is no record any more."""
-        self.version = version if record is not None else NO_REVISION
+        self.version = version if record is not None else Revision(version.era)
         if record is not None and record.hold is not None:
             self.stored_hold = record.hold.number
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/platform.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/platform.py
@@ -46,14 +46,14 @@
 class PlatformAnswer:
     """An answer of the platform, or of the driver if the call failed.
 
-    `era` is that of the store when it answered; it is zero if the answer is not the
-    store's, or if the store states no era.
+    `era` is that of the store when it answered, zero if the store states none. It is
+    None if the answer is not the store's.
     """
 
     @property
-    def era(self) -> int:
+    def era(self) -> int | None:
         """The era of the store that gave the answer."""
-        return 0
+        return None
 
 
 @attrs.frozen
@@ -273,7 +273,7 @@
 
     reason: str
     verdict: Verdict
-    era: int = attrs.field(default=0, kw_only=True)
+    era: int | None = attrs.field(default=None, kw_only=True)
 
 
 def check_era(message: PlatformMessage, answer: PlatformAnswer) -> PlatformAnswer:
@@ -282,8 +282,8 @@
     Revisions of the era that the call names say nothing in a later one. A call that
     names no revision is answered in any era.
     """
-    named = message.named_revision
+    named, era = message.named_revision, answer.era
     is_failure = isinstance(answer, PlatformFailure)
-    if named == NO_REVISION or is_failure or answer.era <= named.era:
+    if named == NO_REVISION or is_failure or era is None or era <= named.era:
         return answer
-    return EraChanged(era=answer.era)
+    return EraChanged(era=era)
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -22,12 +22,14 @@
 class FollowFeed(Purpose):
     """Update the host's copy of a feed by a watch of `wait` seconds, or a listing.
 
-    Unless `is_exact`, the answer may be seconds old.
+    Unless `is_exact`, the answer may be seconds old. Of the calls for a feed only those
+    of its latest `series` count.
     """
 
     feed: Feed
     wait: float = 0.0
     is_exact: bool = True
+    series: int = 0
 
 
 @attrs.frozen
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -12,12 +12,13 @@
     compute_sparing_interval,
 )
 from geraniumhall_core.copies import RelayState
+from geraniumhall_core.eras import EraState
 from geraniumhall_core.fairness import EntryQueue, RoomQueue
 from geraniumhall_core.hosts import HostsView, KnownHost
 from geraniumhall_core.leases import LeaseState
 from geraniumhall_core.limits import DemandHistory, DemandMeter, TokenBucket
 from geraniumhall_core.loans import BorrowingState
-from geraniumhall_core.orders import OrderState
+from geraniumhall_core.orders import OrderIntent, OrderState
 from geraniumhall_core.pace import EntryProfile, ServicePace
 from geraniumhall_core.parts import CrashId
 from geraniumhall_core.platform import Feed
@@ -69,12 +70,16 @@
     been current then. If answers since may have been old, `exact_until` is when the
     last exact one confirmed it, and infinity otherwise. `failures` counts failed
     calls in a row. `unusable` holds the objects that can't be decoded, with the reason.
+    Answers to calls of an earlier `series` are ignored; a new one begins with each era
+    of the store. `listed_era` is the era of the latest listing.
     """
 
     revision: Revision = NO_REVISION
     confirmed_at: float = float("-inf")
     exact_until: float = float("inf")
     failures: int = 0
+    series: int = 0
+    listed_era: int = 0
     unusable: dict[ObjectKey | None, str] = attrs.field(factory=dict)
 
     @property
@@ -89,13 +94,15 @@
 
     `demand_history` holds the demand rates of writes that took effect;
     `unconfirmed` holds those of later writes that may have taken effect, oldest
-    first. `version` is the record's last known version in the store.
+    first. `version` is the record's last known version in the store. With
+    `awaits_listing` it is not known in this era of the store yet.
     """
 
     demand_history: DemandHistory = attrs.field(factory=DemandHistory)
     unconfirmed: list[dict[str, float]] = attrs.field(factory=list)
     version: Revision = NO_REVISION
     sequence: int = 0
+    awaits_listing: bool = False
     is_calling: bool = False
     next_call_at: float = float("-inf")
 
@@ -111,6 +118,20 @@
             [counted, *(rates.get(workspace, 0.0) for rates in self.unconfirmed)]
         )
 
+    def forget_recent(self, now: float, propagation_bound: float) -> None:
+        """Keep only the demand that is counted at `now`.
+
+        All hosts have read that; the store may have lost what was written later.
+        """
+        names = {name for entry in self.demand_history.entries for name in entry.rates}
+        counted = {
+            name: self.compute_counted_demand(name, now, propagation_bound)
+            for name in names
+        }
+        self.demand_history = DemandHistory()
+        self.demand_history.add(counted, now - propagation_bound, propagation_bound)
+        self.unconfirmed.clear()
+
     def confirm(self, now: float, propagation_bound: float) -> None:
         """Move unconfirmed rates to the history after the last write took effect.
 
@@ -151,12 +172,14 @@
 class SealingState:
     """Progress of sealing and reporting usage under the control lease.
 
-    `seals` is the store's record at `version`, or None if it has to be read.
+    `seals` is the store's record at `version`, or None if it has to be read. Windows
+    up to `last_doubtful` may have been sealed in an earlier era of the store.
     `reported` holds the numbers of the windows that this process has reported.
     """
 
     seals: UsageSeals | None = None
     version: Revision = NO_REVISION
+    last_doubtful: int = -1
     reported: set[int] = attrs.field(factory=set)
     is_calling: bool = False
     next_call_at: float = float("-inf")
@@ -216,7 +239,8 @@
     that broke off on a server until it is known whether the server has ended.
     `has_buckets` is true once this process has created its first buckets; all of them
     are resized at `buckets_due_at` seconds. The keys of `scale_requests` are a service,
-    a failure domain and whether the servers are reclaimable.
+    a failure domain and whether the servers are reclaimable. `intents` are the latest
+    ones that were read, by server.
     """
 
     policy: Policy
@@ -229,6 +253,7 @@
     platform_contact_at: float = float("-inf")
     platform_down_at: float = float("-inf")
     platform_was_silent: bool = False
+    era: EraState = attrs.field(factory=EraState)
     deferred: DeferredDeletions = attrs.field(factory=DeferredDeletions)
     hosts: HostsView = attrs.field(factory=HostsView)
     publishing: PublishingState = attrs.field(factory=PublishingState)
@@ -256,6 +281,7 @@
     round_robin_index: int = 0
     lease: LeaseState = attrs.field(factory=LeaseState)
     orders: dict[str, OrderState] = attrs.field(factory=dict)
+    intents: dict[str, OrderIntent] = attrs.field(factory=dict)
     scale_requests: dict[tuple[str, str, bool], ScaleRequest] = attrs.field(
         factory=dict
     )
--- a/packages/geraniumhall-core/src/geraniumhall_core/usage.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/usage.py
@@ -52,18 +52,28 @@
 @RECORD_KINDS.register("seals")
 @attrs.frozen(kw_only=True)
 class UsageSeals:
-    """The sealed figures of the latest windows, oldest first."""
+    """The sealed figures of the latest windows, oldest first.
+
+    `era` is that of the store in which they were written.
+    """
 
     windows: tuple[WindowUsage, ...] = ()
+    era: int = 0
 
     @property
     def last_window(self) -> int | None:
         """The number of the newest sealed window, None without one."""
         return self.windows[-1].window if self.windows else None
 
-    def add(self, window: WindowUsage) -> "UsageSeals":
+    def add(self, window: WindowUsage, era: int = 0) -> "UsageSeals":
         """Return the seals with `window` appended, at most `SEALS_KEPT` of them."""
-        return UsageSeals(windows=(*self.windows, window)[-SEALS_KEPT:])
+        return UsageSeals(windows=(*self.windows, window)[-SEALS_KEPT:], era=era)
+
+    def merge(self, later: "UsageSeals") -> "UsageSeals":
+        """Return these seals with the windows of `later` that they lack."""
+        windows = {w.window: w for w in (*later.windows, *self.windows)}
+        latest = sorted(windows)[-SEALS_KEPT:]
+        return UsageSeals(windows=tuple(windows[n] for n in latest), era=self.era)
 
 
 UsageTable = dict[str, UsageFigures]
@@ -73,12 +83,14 @@
 class UsageLedger:
     """Usage counts of this process by window, each `window_seconds` long.
 
-    Windows up to `last_sealed` are final, and their counts are dropped.
+    Windows up to `last_sealed` are final, and their counts are dropped. `seals` are
+    the newest that were read.
     """
 
     window_seconds: float
     windows: dict[int, UsageTable] = attrs.field(factory=dict)
     last_sealed: int = -1
+    seals: UsageSeals = UsageSeals()
 
     def compute_window(self, wall_time: float) -> int:
         """Return the number of the window at `wall_time` seconds since the epoch."""
@@ -104,6 +116,15 @@
         for number in [n for n in self.windows if n <= self.last_sealed]:
             del self.windows[number]
 
+    def observe_seals(self, seals: UsageSeals) -> None:
+        """Remember the seals, and drop the counts of their windows.
+
+        Seals that the store has lost in a rewind are remembered too.
+        """
+        self.seals = seals.merge(self.seals)
+        if seals.last_window is not None:
+            self.discard_sealed(seals.last_window)
+
     def list_windows(self) -> tuple[WindowUsage, ...]:
         """Return the latest `WINDOWS_KEPT` windows, oldest first; drop older ones."""
         for number in sorted(self.windows)[:-WINDOWS_KEPT]:
--- a/packages/geraniumhall-core/tests/test_leases.py
+++ b/packages/geraniumhall-core/tests/test_leases.py
@@ -22,7 +22,7 @@
         """The TTL counts from sending the write, not from its answer."""
         state = LeaseState()
         renewal = state.start_write(100.0)
-        state.confirm_write(5, build_lease(renewal), TTL)
+        state.confirm_write(Revision(number=5), build_lease(renewal), TTL)
         self.assertEqual(state.held_until, 109.0)
 
     def test_older_write_runs_from_its_own_sending(self) -> None:
@@ -30,13 +30,13 @@
         state = LeaseState()
         first = state.start_write(100.0)
         state.start_write(103.0)
-        state.confirm_write(5, build_lease(first), TTL)
+        state.confirm_write(Revision(number=5), build_lease(first), TTL)
         self.assertEqual(state.held_until, 109.0)
 
     def test_write_of_another_process_holds_nothing(self) -> None:
         """A lease written by an earlier process on the host is not held."""
         state = LeaseState()
-        state.confirm_write(5, build_lease(7), TTL)
+        state.confirm_write(Revision(number=5), build_lease(7), TTL)
         self.assertEqual(state.held_until, float("-inf"))
 
     def test_same_version_does_not_restart_the_wait(self) -> None:
--- a/packages/geraniumhall-core/tests/test_scaling.py
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -214,7 +214,7 @@
         if is_holder:
             lease = Lease(host="h1", incarnation=1, term=4, renewal=0)
             state.lease.written_at[0] = 2.0
-            state.lease.confirm_write(5, lease, 9.0)
+            state.lease.confirm_write(Revision(number=5), lease, 9.0)
         return state
 
     def test_holder_sends_scale_requests_under_its_term(self) -> None:
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_answers.py
@@ -21,6 +21,7 @@
 from geraniumhall_core.keys import KeyRecord
 from geraniumhall_core.platform import (
     Conflict,
+    EraChanged,
     Listing,
     ObjectFound,
     ObjectMissing,
@@ -135,6 +136,14 @@
     return AdminResponse(412, {"error": error, "current": current}, version)
 
 
+@ANSWER_ENCODERS.register(EraChanged)
+def encode_era_change(answer: EraChanged) -> AdminResponse:
+    """Encode that the store has come back from an older copy."""
+    reason = "the store came back from an older copy; read the record again"
+    error = {"code": "era_changed", "reason": reason, "path": ""}
+    return AdminResponse(412, {"error": error, "current": None})
+
+
 @ANSWER_ENCODERS.register(Listing)
 def encode_listing(answer: Listing) -> AdminResponse:
     """Encode the records of one kind."""
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/records.py
@@ -9,11 +9,14 @@
 from typing import Any
 
 import attrs
+from cattrs.gen import make_dict_unstructure_fn, override
 
 from geraniumhall_core.hosts import Demand
+from geraniumhall_core.leases import Lease
+from geraniumhall_core.orders import OrderIntent
 from geraniumhall_core.records import RECORD_KINDS
 from geraniumhall_core.registry import UnknownEntryError
-from geraniumhall_core.usage import UsageFigures, UsageLine
+from geraniumhall_core.usage import UsageFigures, UsageLine, UsageSeals
 from geraniumhall_wire.converter import (
     MAX_INTEGER,
     MIN_INTEGER,
@@ -28,6 +31,14 @@
 CONVERTER = build_converter()
 CONVERTER.register_unstructure_hook(Demand, lambda item: list(attrs.astuple(item)))
 CONVERTER.register_unstructure_hook(UsageLine, lambda line: _encode_usage_line(line))
+for kind_with_era in (Lease, UsageSeals, OrderIntent):
+    # Without eras, records are written as hosts that know none of them read them.
+    CONVERTER.register_unstructure_hook(
+        kind_with_era,
+        make_dict_unstructure_fn(
+            kind_with_era, CONVERTER, era=override(omit_if_default=True)
+        ),
+    )
 CONVERTER.register_structure_hook(Demand, lambda data, _: _decode_demand(data))
 CONVERTER.register_structure_hook(UsageLine, lambda data, _: _decode_usage_line(data))
 
