Count the transfer of a KV cache at both engines

Change: a transfer's time counts as work twice, at the engine that sends and at the one that receives. Tested: test_kept_prompts.

--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -53,6 +53,8 @@
 COPY_FRACTION = 0.9
 # Transfers between failure domains take this much longer.
 CROSS_DOMAIN_TRANSFER_FACTOR = 2.0
+# A transfer takes the time, a slot and memory of both engines.
+TRANSFER_ENDS = 2
 # Less is read again in the time that a transfer takes to begin.
 MIN_FETCH_TOKENS = 1_000
 
@@ -266,7 +268,8 @@
         is_prefill_only=candidate.is_prefill_only,
     )
     work = read / candidate.rate - (copy_work if rereads else 0.0)
-    price = _price_wait(expected, query) + work + candidate.transfer + copy_seconds
+    work += TRANSFER_ENDS * candidate.transfer
+    price = _price_wait(expected, query) + work + copy_seconds
     if not candidate.is_prefill_only:
         price += _price_pauses(engine, read, query)
     return Option(plan=plan, price=price)
