Rewind the store of real processes in a scenario

Cause: the decisions on eras were tested in the reducer and on simulated hosts only, where the model's answers need no header. `await_revision` compares eras.

--- a/packages/geraniumhall-bench/src/geraniumhall_bench/steps/processes.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/processes.py
@@ -7,6 +7,8 @@
 
 from geraniumhall_bench.scenario import STEPS, RunContext
 from geraniumhall_bench.steps.common import call_admin, check_equal, check_status
+from geraniumhall_core.revisions import Revision
+from geraniumhall_wire.versions import decode_version
 
 
 @STEPS.register("start")
@@ -88,12 +90,12 @@
 
     async def run(self, context: RunContext) -> None:
         """Wait for the log line of each daemon."""
-        revision = int(context.find(self.of))
+        wanted = decode_version(int(context.find(self.of)))
         for name in self.daemons:
             await context.group.processes[name].wait_for(
                 lambda line: (
                     line.get("event") == "catalogue_applied"
-                    and line["revision"] >= revision
+                    and Revision(line["era"], line["revision"]) >= wanted
                 )
             )
 
--- a/packages/geraniumhall-bench/src/geraniumhall_bench/steps/stand_ins.py
+++ b/packages/geraniumhall-bench/src/geraniumhall_bench/steps/stand_ins.py
@@ -22,6 +22,19 @@
         await control_stand_in(context, self.at, "POST", "faults", list(self.faults))
 
 
+@STEPS.register("control")
+@attrs.frozen(kw_only=True)
+class ControlStandIn:
+    """Use a control of a stand-in, such as `copy` or `rewind` of the platform."""
+
+    at: str
+    call: str
+
+    async def run(self, context: RunContext) -> None:
+        """Make the call to the stand-in's control API."""
+        await control_stand_in(context, self.at, "POST", self.call)
+
+
 @STEPS.register("expect_calls")
 @attrs.frozen(kw_only=True)
 class ExpectCalls:
