Test that a leaving server that ends counts against no part

The mutation "an announced end counts as a crash" survived once it matched the code again: only a server that is not listed any more was tested. It is killed now.

--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -3,6 +3,7 @@
 import unittest
 from typing import Any
 
+import attrs
 from builders import (
     DRAWS,
     apply_feed_answer,
@@ -203,6 +204,19 @@
         end = reduce(state, build_attempt_end(sent, AttemptOutcome.BROKEN, at=3.1))
         self.assertFalse([e for e in end if isinstance(e, ProbeServer)])
 
+    def test_leaving_server_that_ends_counts_nothing(self):
+        """A server that is still listed, but as leaving, is not probed."""
+        state = build_state()
+        sent = find_effect(start_request(state, "r1", 3.0), RelayRequest)
+        leaving = attrs.evolve(state.catalogue.servers[sent.server], leaving=True)
+        key = ObjectKey("server", sent.server)
+        change = VersionedRecord(key, Revision(number=200), leaving)
+        apply_feed_answer(
+            state, Feed.RECORDS, Changes(Revision(number=200), (change,)), at=3.05
+        )
+        end = reduce(state, build_attempt_end(sent, AttemptOutcome.BROKEN, at=3.1))
+        self.assertFalse([e for e in end if isinstance(e, ProbeServer)])
+
     def test_request_that_had_written_is_no_suspect(self):
         """A stream that was under way when its server ended did no harm."""
         state = build_state()
