--- a/packages/geraniumhall-core/src/geraniumhall_core/speeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/speeds.py
@@ -24,7 +24,7 @@
 MAX_ENGINE_SAMPLES = 15
 MAX_SERVICE_SAMPLES = 101
 MAX_ECHOES = 32
-REFRESH_SECONDS = 0.25  # between two summaries of the same samples
+REFRESH_SECONDS = 0.5  # between two summaries of the same samples
 # Engines whose samples weigh less are reported to other hosts.
 KNOWN_WEIGHT = 4.0
 USUAL_WEIGHT = 1.0  # of the usual speed, in answers
