--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/room.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/room.py
@@ -16,7 +16,7 @@
     UrgencyQuery,
 )
 
-# The users' pages price a refusal that comes after more of the objective.
+# A caller that is refused later than this has lost time that it needs elsewhere.
 HELD_FRACTION = 0.125
 DEFAULT_ANSWER_SECONDS = 0.2  # until answers were observed
 DRAINED_FRACTION = 0.5  # of an answer's time, until a full server is tried again
--- a/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/kept_prompts.py
@@ -42,8 +42,8 @@
     estimate_stream_delay,
 )
 
-# A caller who waits within the objective loses less than one whose engine's time is
-# taken by others: the answer earns the same, while that time is gone.
+# A caller who waits within the objective loses little, while the engine time that an
+# early answer takes is lost to all who come after it.
 WAIT_WEIGHT = 0.5
 # Engines keep a part for some seconds, in which a copy may serve other requests.
 RETENTION_SECONDS = 10.0
