Move the harness of the crowd tests into a module

Crowds, bounds and checks of test_crowds are as they were; the harness can now measure the kernel's buffers too and call any listener, for crowds of other kinds.

--- /dev/null
+++ b/packages/geraniumhall-bench/tests/crowds.py
@@ -0,0 +1,239 @@
+"""A daemon under test, and crowds of callers that keep to no limits.
+
+A crowd's program gets a connection of its own for each caller::
+
+    async with open_crowd(build_settings()) as crowd:
+        await crowd.send_all(60, send_something)
+        status = await crowd.call_ordinarily()
+"""
+
+import os
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import attrs
+import trio
+
+from geraniumhall_bench.processes import ManagedProcess, ProcessGroup
+from geraniumhall_wire.settings import split_address
+
+MIB = 2**20
+CROWD_SECONDS = 25.0
+ANSWER_SECONDS = 20.0
+SAMPLE_SECONDS = 0.05
+REPORT_BYTES = MIB - 1024  # just less than is read before any of it is forwarded
+HEAD = b"POST /filings HTTP/1.1\r\nhost: a\r\nconnection: keep-alive\r\n"
+ORDINARY = HEAD + b"content-length: 2\r\n\r\nhi"
+LISTENING = "0A"  # the state of a socket in /proc/net/tcp
+
+Sender = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+def build_entries(*names: str) -> dict[str, dict[str, Any]]:
+    """Return a route for each name, open to all."""
+    return {
+        name: {
+            "owner": "audit",
+            "service_class": "service",
+            "path": f"/{name}",
+            "open_to_all": True,
+        }
+        for name in names
+    }
+
+
+def build_seed(server: str, *names: str) -> dict[str, Any]:
+    """Return a catalogue with one server for the named routes."""
+    return {
+        "workspace": {"audit": {"rate": 100_000, "burst": 100_000}},
+        "entry": build_entries(*names),
+        "server": {
+            "s1": {"address": server, "failure_domain": "a", "entries": [*names]}
+        },
+    }
+
+
+@attrs.define(eq=False)
+class Crowd:
+    """A daemon under test and the connections of its callers.
+
+    `address` is that of the callers' listener and `addresses` holds those of all, by
+    name. `server` is the address of the backend server. In bytes, `peak` is the most
+    memory that the process and the kernel's buffers of its connections have held
+    together, and `peak_buffered` the most that these buffers have.
+    """
+
+    process: ManagedProcess
+    address: tuple[str, int]
+    nursery: trio.Nursery
+    addresses: dict[str, tuple[str, int]] = attrs.field(factory=dict)
+    server: tuple[str, int] = ("", 0)
+    streams: list[trio.SocketStream] = attrs.field(factory=list)
+    peak: int = 0
+    peak_buffered: int = 0
+
+    async def connect(self, listener: str = "") -> trio.SocketStream:
+        """Open a connection that stays open until the test has ended."""
+        address = self.addresses[listener] if listener else self.address
+        stream = await trio.open_tcp_stream(*address)
+        self.streams.append(stream)
+        return stream
+
+    async def send_all(self, count: int, send: Sender, listener: str = "") -> None:
+        """Let `count` callers send at once, each on a connection of its own."""
+
+        async def call() -> None:
+            try:
+                await send(await self.connect(listener))
+            except (OSError, trio.BrokenResourceError):
+                return  # the daemon may close the connection of such a caller
+
+        with trio.move_on_after(CROWD_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for _ in range(count):
+                    nursery.start_soon(call)
+
+    async def call_ordinarily(
+        self, request: bytes = ORDINARY, listener: str = ""
+    ) -> bytes:
+        """Make an ordinary request on a new connection; return the status line.
+
+        An ordinary caller repeats a request that was refused as not run.
+        """
+        address = self.addresses[listener] if listener else self.address
+        status = b""
+        with trio.move_on_after(ANSWER_SECONDS):
+            while not status.startswith(b"HTTP/1.1 200"):
+                stream = await trio.open_tcp_stream(*address)
+                async with stream:
+                    await stream.send_all(request)
+                    status = bytes(await stream.receive_some(4096)).split(b"\r\n")[0]
+                await trio.sleep(0.05)
+        return status
+
+    async def leave(self) -> None:
+        """Close the connections of all callers."""
+        while self.streams:
+            await trio.aclose_forcefully(self.streams.pop())
+
+    def read_memory(self, field: str) -> int:
+        """Return a figure of the process's memory in bytes, 0 if it has ended."""
+        try:
+            text = Path(f"/proc/{self.process.pid}/status").read_text()
+        except FileNotFoundError:
+            return 0
+        for line in text.splitlines():
+            if line.startswith(f"{field}:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
+    def count_descriptors(self) -> int:
+        """Return how many descriptors the process has open."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def measure_buffered(self) -> int:
+        """Return the bytes that the kernel holds for the daemon's connections.
+
+        These are the bytes that it has yet to read, from callers and from its server,
+        and those that its callers have yet to take. Connections that wait to be
+        accepted count too.
+        """
+        ports = {port for _, port in self.addresses.values()}
+        buffered = 0
+        for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            _, local, remote, state, queues, *_ = row.split()
+            if state == LISTENING:
+                continue
+            unsent, unread = (int(size, 16) for size in queues.split(":"))
+            if _parse_port(local) in ports:
+                buffered += unsent + unread
+            elif _parse_port(remote) == self.server[1]:
+                buffered += unread
+        return buffered
+
+    async def watch_memory(self) -> None:
+        """Measure the memory held again and again until cancelled."""
+        while True:
+            buffered = self.measure_buffered()
+            self.peak_buffered = max(self.peak_buffered, buffered)
+            self.peak = max(self.peak, self.read_memory("VmRSS") + buffered)
+            await trio.sleep(SAMPLE_SECONDS)
+
+
+SettingsBuilder = Callable[[str], dict[str, Any]]
+
+
+@asynccontextmanager
+async def open_crowd(build_settings: SettingsBuilder) -> AsyncIterator[Crowd]:
+    """Start a daemon and its server; end both with the block.
+
+    The settings are built for the address of the server.
+    """
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listeners[0].socket.getsockname()[:2]
+        nursery.start_soon(_serve_backend, listeners)
+        group = ProcessGroup(nursery)
+        try:
+            line = await group.start_daemon("h1", build_settings(f"{host}:{port}"))
+            addresses = _find_addresses(line)
+            crowd = Crowd(
+                group.processes["h1"],
+                addresses["callers"],
+                nursery,
+                addresses,
+                (host, port),
+            )
+            yield crowd
+            await crowd.leave()
+        finally:
+            group.kill_all()
+        nursery.cancel_scope.cancel()
+
+
+async def serve_backend(stream: trio.SocketStream) -> None:
+    """Answer requests as a backend server, by their path.
+
+    ``/reports`` gets a long answer, ``/streams`` one without end, ``/waits`` none.
+    """
+    buffer = b""
+    async with stream:
+        async for data in stream:
+            buffer += data
+            while b"\r\n\r\nhi" in buffer:
+                head, _, buffer = buffer.partition(b"\r\n\r\nhi")
+                if head.startswith(b"POST /waits"):
+                    continue
+                if head.startswith(b"POST /streams"):
+                    await _send_without_end(stream)
+                size = REPORT_BYTES if head.startswith(b"POST /reports") else 2
+                answer = f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n".encode()
+                await stream.send_all(answer + b"x" * size)
+
+
+async def _send_without_end(stream: trio.SocketStream) -> None:
+    await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    while True:
+        await stream.send_all(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
+
+
+async def _serve_backend(listeners: list[trio.SocketListener]) -> None:
+    async def serve(stream: trio.SocketStream) -> None:
+        try:
+            await serve_backend(stream)
+        except trio.BrokenResourceError:
+            return  # the daemon closed the connection
+
+    await trio.serve_listeners(serve, listeners)
+
+
+def _find_addresses(line: dict[str, Any]) -> dict[str, tuple[str, int]]:
+    """Return the addresses of a daemon's listeners by name."""
+    names = ("callers", "admin", "health", "metrics")
+    return {name: split_address(line[name]) for name in names if name in line}
+
+
+def _parse_port(address: str) -> int:
+    return int(address.partition(":")[2], 16)
--- a/packages/geraniumhall-bench/tests/test_crowds.py
+++ b/packages/geraniumhall-bench/tests/test_crowds.py
@@ -8,20 +8,14 @@
 
 import os
 import unittest
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-from contextlib import asynccontextmanager
+from collections.abc import Iterator
 from itertools import repeat
 from json import dumps
-from pathlib import Path
 from typing import Any
 
-import attrs
 import trio
+from crowds import HEAD, MIB, Crowd, Sender, build_seed, open_crowd
 
-from geraniumhall_bench.processes import ManagedProcess, ProcessGroup
-from geraniumhall_wire.settings import split_address
-
-MIB = 2**20
 # The least memory and the fewest descriptors of the hosts in service.
 MAX_MEMORY = 160 * MIB
 MAX_QUIET_MEMORY = MAX_MEMORY // 2  # while the crowd is connected and sends nothing
@@ -30,36 +24,14 @@
 MAX_DESCRIPTORS = 2 * MAX_CONNECTIONS
 CROWD = 60
 LARGE_CROWD = 400
-CROWD_SECONDS = 25.0
 QUIET_SECONDS = 30.0
-ANSWER_SECONDS = 20.0
 BLOCK = b"x" * 65_536
-REPORT_BYTES = MIB - 1024  # just less than is read before any of it is forwarded
-HEAD = b"POST /filings HTTP/1.1\r\nhost: a\r\nconnection: keep-alive\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
-ORDINARY = HEAD + b"content-length: 2\r\n\r\nhi"
 REPORT = HEAD.replace(b"/filings", b"/reports") + b"content-length: 2\r\n\r\nhi"
 
-Sender = Callable[[trio.SocketStream], Awaitable[None]]
-
 
 def build_settings(server: str) -> dict[str, Any]:
     """Return settings of a daemon with one server for two routes."""
-    entries = {
-        name: {
-            "owner": "audit",
-            "service_class": "service",
-            "path": f"/{name}",
-            "open_to_all": True,
-        }
-        for name in ("filings", "reports")
-    }
-    address = {"address": server, "failure_domain": "a", "entries": [*entries]}
-    seed = {
-        "workspace": {"audit": {"rate": 100_000, "burst": 100_000}},
-        "entry": entries,
-        "server": {"s1": address},
-    }
     return {
         "host": {"name": "h1", "failure_domain": "a"},
         "callers": {
@@ -68,118 +40,19 @@
             "max_connections": MAX_CONNECTIONS,
         },
         "admin": {"listen": "127.0.0.1:0"},
-        "platform": {"driver": "memory", "seed": seed},
+        "platform": {
+            "driver": "memory",
+            "seed": build_seed(server, "filings", "reports"),
+        },
     }
 
 
-@attrs.define(eq=False)
-class Crowd:
-    """A daemon under test and the connections of its callers."""
-
-    process: ManagedProcess
-    address: tuple[str, int]
-    nursery: trio.Nursery
-    streams: list[trio.SocketStream] = attrs.field(factory=list)
-
-    async def connect(self) -> trio.SocketStream:
-        """Open a connection that stays open until the test has ended."""
-        stream = await trio.open_tcp_stream(*self.address)
-        self.streams.append(stream)
-        return stream
-
-    async def send_all(self, count: int, send: Sender) -> None:
-        """Let `count` callers send at once, each on a connection of its own."""
-
-        async def call() -> None:
-            try:
-                await send(await self.connect())
-            except (OSError, trio.BrokenResourceError):
-                return  # the daemon may close the connection of such a caller
-
-        with trio.move_on_after(CROWD_SECONDS):
-            async with trio.open_nursery() as nursery:
-                for _ in range(count):
-                    nursery.start_soon(call)
-
-    async def call_ordinarily(self) -> bytes:
-        """Make an ordinary request on a new connection; return the status line.
-
-        An ordinary caller repeats a request that was refused as not run.
-        """
-        status = b""
-        with trio.move_on_after(ANSWER_SECONDS):
-            while not status.startswith(b"HTTP/1.1 200"):
-                stream = await trio.open_tcp_stream(*self.address)
-                async with stream:
-                    await stream.send_all(ORDINARY)
-                    status = bytes(await stream.receive_some(4096)).split(b"\r\n")[0]
-                await trio.sleep(0.05)
-        return status
-
-    def read_memory(self, field: str) -> int:
-        """Return a figure of the process's memory in bytes, 0 if it has ended."""
-        try:
-            text = Path(f"/proc/{self.process.pid}/status").read_text()
-        except FileNotFoundError:
-            return 0
-        for line in text.splitlines():
-            if line.startswith(f"{field}:"):
-                return int(line.split()[1]) * 1024
-        return 0
-
-    def count_descriptors(self) -> int:
-        """Return how many descriptors the process has open."""
-        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
-
-    async def wait_until_quiet(self) -> int:
-        """Return the memory held once it is under its bound, or at last."""
-        with trio.move_on_after(QUIET_SECONDS):
-            while self.read_memory("VmRSS") > MAX_QUIET_MEMORY:
-                await trio.sleep(0.2)
-        return self.read_memory("VmRSS")
-
-
-async def serve_backend(stream: trio.SocketStream) -> None:
-    """Answer requests as a backend server, ``/reports`` with a long answer."""
-    buffer = b""
-    async with stream:
-        async for data in stream:
-            buffer += data
-            while b"\r\n\r\nhi" in buffer:
-                head, _, buffer = buffer.partition(b"\r\n\r\nhi")
-                size = REPORT_BYTES if head.startswith(b"POST /reports") else 2
-                answer = f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n".encode()
-                await stream.send_all(answer + b"x" * size)
-
-
-@asynccontextmanager
-async def open_crowd() -> AsyncIterator[Crowd]:
-    """Start a daemon and its server; end both with the block."""
-    async with trio.open_nursery() as nursery:
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        host, port = listeners[0].socket.getsockname()[:2]
-        nursery.start_soon(_serve_backend, listeners)
-        group = ProcessGroup(nursery)
-        try:
-            line = await group.start_daemon("h1", build_settings(f"{host}:{port}"))
-            address = split_address(line["callers"])
-            crowd = Crowd(group.processes["h1"], address, nursery)
-            yield crowd
-            for stream in crowd.streams:
-                await trio.aclose_forcefully(stream)
-        finally:
-            group.kill_all()
-        nursery.cancel_scope.cancel()
-
-
-async def _serve_backend(listeners: list[trio.SocketListener]) -> None:
-    async def serve(stream: trio.SocketStream) -> None:
-        try:
-            await serve_backend(stream)
-        except trio.BrokenResourceError:
-            return  # the daemon closed the connection
-
-    await trio.serve_listeners(serve, listeners)
+async def wait_until_quiet(crowd: Crowd) -> int:
+    """Return the memory held once it is under its bound, or at last."""
+    with trio.move_on_after(QUIET_SECONDS):
+        while crowd.read_memory("VmRSS") > MAX_QUIET_MEMORY:
+            await trio.sleep(0.2)
+    return crowd.read_memory("VmRSS")
 
 
 def build_chunks(chunk: bytes, size: int) -> Iterator[bytes]:
@@ -236,7 +109,7 @@
         found: dict[str, Any] = {}
 
         async def run() -> None:
-            async with open_crowd() as crowd:
+            async with open_crowd(build_settings) as crowd:
                 found["start"] = crowd.read_memory("VmRSS")
                 await crowd.send_all(count, send)
                 await trio.sleep(0.5)
@@ -244,7 +117,7 @@
                 found["answer"] = await crowd.call_ordinarily()
                 found["peak"] = crowd.read_memory("VmHWM")
                 if is_quiet_after:
-                    found["quiet"] = await crowd.wait_until_quiet()
+                    found["quiet"] = await wait_until_quiet(crowd)
                 found["exit"] = crowd.process.process.poll()
 
         trio.run(run)
