Bound what the kernel holds of callers that sent and were not read

Seen: with 1,000 connections beside the 100 that were open, each with 60 KB of a body, the daemon and the kernel's buffers together reached 115.8 MB on a host of 96 MiB (100.7 MB); with 60 callers that upload six bodies and then send on while a request of theirs runs, 282.4 MB, 217 of it unread. A host counts unread bytes and ends the process. Cause: no socket had a bound on its receive buffer. One that waits to be accepted holds 128 KB, and one that has been read fast grows to megabytes. On this kernel a socket told 8 KiB holds 12,288 bytes at most, one told 64 KiB 128,160, also after 6 MB were read of it; one that is told more after it was accepted does hold more. Why it works: the listening socket's bound is inherited by each connection before it is accepted. A body over 32 KiB gets a larger buffer, which the budget counts, so that it arrives in time over a long distance. Ruled out: a shorter queue of connections (a host that was frozen would drop the opening packets of ordinary callers), and measuring the buffers (one call for each connection).

--- a/packages/geraniumhall-net/src/geraniumhall_net/budget.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/budget.py
@@ -60,6 +60,10 @@
         """Whether little more than the reserve for ordinary connections is left."""
         return self.used > self.total * (1 - RESERVED_FRACTION - FREED_FRACTION)
 
+    def has_room(self, asker: Holding, size: int) -> bool:
+        """Return whether `size` bytes for an asker need no decision."""
+        return self._build_query(asker, size).missing <= 0
+
     def open_share(self, group: str, close: Callable[[], None]) -> "MemoryShare":
         """Return the share of a new connection, which `close` ends at once."""
         now = trio.current_time()
@@ -80,14 +84,7 @@
         self, asker: Holding, size: int, is_answer: bool = False
     ) -> MemoryVerdict:
         """Decide on `size` bytes for an asker, and close whom that needs."""
-        query = MemoryQuery(
-            now=trio.current_time(),
-            asker=asker,
-            size=size,
-            used=self.used,
-            total=self.total,
-            is_answer=is_answer,
-        )
+        query = self._build_query(asker, size, is_answer)
         if query.missing <= 0:
             return MemoryVerdict.GRANT
         decision: MemoryDecision = self.policy.decide(query, self._shares)
@@ -114,6 +111,18 @@
             self.change_used(-holding.size)
             holding.size = 0
 
+    def _build_query(
+        self, asker: Holding, size: int, is_answer: bool = False
+    ) -> MemoryQuery:
+        return MemoryQuery(
+            now=trio.current_time(),
+            asker=asker,
+            size=size,
+            used=self.used,
+            total=self.total,
+            is_answer=is_answer,
+        )
+
     def _close(self, holding: Holding) -> None:
         self.on_decision("closed", holding)
         self._shares[holding].close()
@@ -155,6 +164,13 @@
             await self._budget.wait_until_freed()
         return False
 
+    def grow_if_free(self, size: int) -> bool:
+        """Hold further bytes if there is room for them; nobody is closed for it."""
+        if self.is_closed or not self._budget.has_room(self.holding, size):
+            return False
+        self.add(size)
+        return True
+
     def try_grow(self, size: int) -> bool:
         """Hold further bytes of an answer, or return False at once."""
         if self.is_closed:
--- a/packages/geraniumhall-net/src/geraniumhall_net/listener.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/listener.py
@@ -8,6 +8,11 @@
 import trio
 from loguru import logger
 
+from geraniumhall_net.kernel_buffers import (
+    SEND_BYTES,
+    WAITING_RECEIVE_BYTES,
+    limit_buffers,
+)
 from geraniumhall_net.liveness import enable_tcp_keepalive
 from geraniumhall_wire.settings import split_address
 
@@ -21,6 +26,7 @@
 class Listener:
     """Accepts connections up to a limit; more wait in the kernel's backlog.
 
+    What the kernel holds for a connection is bounded from its start.
     At the limit `make_room` is called while a connection waits, so that it may close
     another. Of one peer address at most `max_per_address` are open, or any number
     if that is zero; `on_refused` gets the address of a further one. An exception from a
@@ -49,6 +55,8 @@
         """Bind a listener to `address`; raises `OSError`."""
         host, port = split_address(address)
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        for listener in listeners:
+            limit_buffers(listener.socket, WAITING_RECEIVE_BYTES, SEND_BYTES)
         limiter = trio.CapacityLimiter(max_connections)
         return cls(listeners, handler, limiter, make_room, max_per_address, on_refused)
 
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -27,6 +27,12 @@
     Refusal,
 )
 from geraniumhall_net.budget import MemoryBudget, MemoryShare, ParsingPace
+from geraniumhall_net.kernel_buffers import (
+    KERNEL_FACTOR,
+    UPLOAD_RECEIVE_BYTES,
+    WAITING_RECEIVE_BYTES,
+    limit_receive_buffer,
+)
 from geraniumhall_net.pieces import join_small
 from geraniumhall_wire.heads import Header, RequestHead
 
@@ -35,6 +41,7 @@
 # The pump may be in its own checkpoint, then reads once.
 PUMP_CHECKPOINTS = 3
 PACED_CHUNKS = 256  # of a body, parsed without letting other connections run
+UPLOAD_BYTES = 32 * 2**10  # of a body, beyond which the kernel may hold more of it
 
 
 class ClientDisconnectedError(ConnectionError):
@@ -114,6 +121,7 @@
     _read_at: float = 0.0
     _parsing: int = 0  # bytes given to the parser and not counted as a request's yet
     _request_size: int = 0
+    _upload_room: int = 0  # bytes held since the kernel's buffer has been enlarged
 
     def __attrs_post_init__(self) -> None:
         self.share = self._resources.budget.open_share(
@@ -263,6 +271,7 @@
         self._http.start_next_cycle()
         self.share.add(-self._request_size)
         self._request_size = 0
+        self._restore_buffer()
         self.share.enter(HoldingKind.IDLE)
         return True
 
@@ -289,6 +298,7 @@
             if event is h11.NEED_DATA:
                 if head is not None:
                     self._count_request(_measure_head(head) + len(body))
+                    self._enlarge_buffer(len(body))
                     scope.deadline = progress.compute_deadline(len(body))
                 await self._receive_more()
             elif isinstance(event, h11.Request):
@@ -344,6 +354,28 @@
         self._request_size = size
         self._parsing = rest
 
+    def _enlarge_buffer(self, size: int) -> None:
+        """Let the kernel hold more of a long body, while there is room for it.
+
+        A body that arrives over a long distance needs that to arrive in time.
+        """
+        if size < UPLOAD_BYTES or self._upload_room:
+            return
+        room = KERNEL_FACTOR * (UPLOAD_RECEIVE_BYTES - WAITING_RECEIVE_BYTES)
+        if self.share.grow_if_free(room):
+            self._upload_room = room
+            self._limit_receive_buffer(UPLOAD_RECEIVE_BYTES)
+
+    def _restore_buffer(self) -> None:
+        if self._upload_room:
+            self._limit_receive_buffer(WAITING_RECEIVE_BYTES)
+            self.share.add(-self._upload_room)
+            self._upload_room = 0
+
+    def _limit_receive_buffer(self, size: int) -> None:
+        if isinstance(self._stream, trio.SocketStream):
+            limit_receive_buffer(self._stream.socket, size)
+
     def _yield_memory(self) -> None:
         """End the connection at once, since others need its memory or its place."""
         if self._request_scope is not None:
--- a/packages/geraniumhall-net/tests/test_budget.py
+++ b/packages/geraniumhall-net/tests/test_budget.py
@@ -9,6 +9,11 @@
 from geraniumhall_core.buffers import Holding
 from geraniumhall_core.refusals import MEMORY_SHORT, REQUEST_TIMEOUT
 from geraniumhall_net.budget import CONNECTION_BYTES, MemoryBudget, ParsingPace
+from geraniumhall_net.kernel_buffers import (
+    KERNEL_FACTOR,
+    UPLOAD_RECEIVE_BYTES,
+    WAITING_RECEIVE_BYTES,
+)
 from geraniumhall_net.pieces import JOINED_BYTES, join_small
 from geraniumhall_net.server import (
     ClientDisconnectedError,
@@ -77,6 +82,33 @@
         self.play(test)
         self.assertEqual(self.budget.used, 0)
 
+    def test_long_body_may_wait_in_a_larger_buffer(self) -> None:
+        """What the kernel may hold of it counts until its request has been answered."""
+        held: list[int] = []
+
+        async def serve(connection: ServerConnection) -> None:
+            await connection.receive_request()
+            held.append(self.budget.used)
+            await connection.send_response(200, (), b"ok")
+            connection.start_next_cycle()
+            held.append(self.budget.used)
+
+        async def test() -> None:
+            client_socket, server_socket = trio.socket.socketpair()
+            client = trio.SocketStream(client_socket)
+            server = trio.SocketStream(server_socket)
+            async with (
+                self.open(server) as connection,  # type: ignore[attr-defined]
+                trio.open_nursery() as nursery,
+            ):
+                nursery.start_soon(serve, connection)
+                await client.send_all(CHUNKED + BLOCK * 4 + b"0\r\n\r\n")
+
+        trio.run(test)
+        room = KERNEL_FACTOR * (UPLOAD_RECEIVE_BYTES - WAITING_RECEIVE_BYTES)
+        self.assertGreaterEqual(held[0], CONNECTION_BYTES + 4 * 32 * KIB + room)
+        self.assertEqual(held[1], CONNECTION_BYTES)
+
     def test_stalled_request_is_refused_for_another(self) -> None:
         """It is told that it has not run, and the other one is whole."""
 
--- a/packages/geraniumhall-net/tests/test_listener.py
+++ b/packages/geraniumhall-net/tests/test_listener.py
@@ -1,9 +1,15 @@
 """Tests of listeners over real sockets."""
 
 import unittest
+from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET
 
 import trio
 
+from geraniumhall_net.kernel_buffers import (
+    KERNEL_FACTOR,
+    SEND_BYTES,
+    WAITING_RECEIVE_BYTES,
+)
 from geraniumhall_net.listener import Listener
 
 WAITING_CLIENTS = 5
@@ -134,5 +140,31 @@
         self.assertEqual(refused, ["127.0.0.1"])
 
 
+class BufferTest(unittest.TestCase):
+    """The kernel holds little for each connection."""
+
+    def test_accepted_connection_has_bounded_buffers(self) -> None:
+        """The bounds hold while it waits to be accepted too, so they are inherited."""
+        sizes: list[int] = []
+
+        async def measure(stream: trio.SocketStream) -> None:
+            for option in (SO_RCVBUF, SO_SNDBUF):
+                sizes.append(stream.socket.getsockopt(SOL_SOCKET, option))
+            await stream.aclose()
+
+        async def play() -> None:
+            async with trio.open_nursery() as nursery:
+                listener = await Listener.from_address("127.0.0.1:0", measure, 1)
+                nursery.start_soon(listener.serve, nursery)
+                host, port = listener.address.split(":")
+                client = await trio.open_tcp_stream(host, int(port))
+                await client.receive_some(1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(play)
+        bounds = [KERNEL_FACTOR * WAITING_RECEIVE_BYTES, KERNEL_FACTOR * SEND_BYTES]
+        self.assertEqual(sizes, bounds)
+
+
 if __name__ == "__main__":
     unittest.main()
