Bound what the kernel holds of answers that are not taken

Seen: 90 callers that read 8 MiB of an answer without end and then stop take the daemon and the kernel's buffers of its connections to 111.3 and 111.6 MB on a host of 96 MiB (100.7 MB), 36.1 and 35.1 MB of it in the kernel. Cause: the receive buffers of connections to servers and the send buffers of callers' connections grow with the speed at which the caller read before it stopped. Why it works: both are bounded when the socket is opened, and what they may hold counts toward the budget while a part of the answer is being sent, so that unread answers are cut off before others get no room.

--- a/packages/geraniumhall-bench/tests/test_kernel_buffers.py
+++ b/packages/geraniumhall-bench/tests/test_kernel_buffers.py
@@ -20,6 +20,7 @@
 MAX_DESCRIPTORS = 3 * MAX_CONNECTIONS
 WAITING_CROWD = 1000
 CROWD = 60
+READERS = 90
 SETTLE_SECONDS = 1.0
 BLOCK = b"x" * 65_536
 BEGUN = HEAD + b"content-length: 1000000\r\n\r\n" + b"x" * 60_000
@@ -27,12 +28,14 @@
 UPLOADS = 6
 UPLOADING = 5  # callers at once
 SENT_ON = 8 * MIB
+READ = 8 * MIB
 WAIT = HEAD.replace(b"/filings", b"/waits") + b"content-length: 2\r\n\r\nhi"
+STREAM = HEAD.replace(b"/filings", b"/streams") + b"content-length: 2\r\n\r\nhi"
 
 
 def build_settings(server: str) -> dict[str, Any]:
     """Return settings of a daemon on a host with little memory."""
-    seed = build_seed(server, "filings", "waits")
+    seed = build_seed(server, "filings", "waits", "streams")
     return {
         "host": {"name": "h1", "failure_domain": "a", "memory": f"{HOST_MEMORY}B"},
         "callers": {"listen": "127.0.0.1:0", "max_connections": MAX_CONNECTIONS},
@@ -69,6 +72,14 @@
     return send
 
 
+async def read_and_stop(stream: trio.SocketStream) -> None:
+    """Read the start of a long answer as fast as it comes, then nothing."""
+    await stream.send_all(STREAM)
+    size = 0
+    while size < READ:
+        size += len(await stream.receive_some(len(BLOCK)))
+
+
 async def _read_answer(stream: trio.SocketStream) -> None:
     answer = b""
     while b"xx" not in answer:
@@ -119,6 +130,10 @@
         """Connections whose buffers have grown are sent more than is read of them."""
         self.play(CROWD, build_pipelining_sender())
 
+    def test_long_answers_of_which_the_rest_is_not_read(self) -> None:
+        """Callers read the start of an answer without end, then nothing."""
+        self.play(READERS, read_and_stop)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -16,6 +16,11 @@
 import h11
 import trio
 
+from geraniumhall_net.kernel_buffers import (
+    SERVER_RECEIVE_BYTES,
+    SERVER_SEND_BYTES,
+    limit_buffers,
+)
 from geraniumhall_net.liveness import enable_tcp_keepalive
 from geraniumhall_net.pieces import join_small
 from geraniumhall_wire.heads import ResponseHead, UpstreamRequest
@@ -53,7 +58,8 @@
     """Connect to an address such as ``127.0.0.1:80``.
 
     The host is an IP address, so no name is resolved and there is only one
-    address to try. Raises `ConnectFailedError`.
+    address to try. What the kernel holds for the connection is bounded.
+    Raises `ConnectFailedError`.
     """
     try:
         host, port = split_address(address)
@@ -65,6 +71,7 @@
     except OSError as error:  # such as no descriptor left
         raise ConnectFailedError(f"{address}: {error}") from error
     try:
+        limit_buffers(tcp_socket, SERVER_RECEIVE_BYTES, SERVER_SEND_BYTES)
         enable_tcp_keepalive(tcp_socket)
         await tcp_socket.connect((host, port))
     except OSError as error:
--- a/packages/geraniumhall-net/src/geraniumhall_net/kernel_buffers.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/kernel_buffers.py
@@ -20,6 +20,10 @@
 WAITING_RECEIVE_BYTES = 8 * 2**10  # of a caller of whom little was read
 UPLOAD_RECEIVE_BYTES = 64 * 2**10  # of a caller who sends a long body
 SEND_BYTES = 32 * 2**10  # to a caller
+SERVER_RECEIVE_BYTES = 16 * 2**10  # from a server
+SERVER_SEND_BYTES = 64 * 2**10  # to a server
+# Of an answer that its caller takes slowly, on both connections.
+UNTAKEN_BYTES = KERNEL_FACTOR * (SEND_BYTES + SERVER_RECEIVE_BYTES)
 
 
 def limit_buffers(
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -29,6 +29,7 @@
 from geraniumhall_net.budget import MemoryBudget, MemoryShare, ParsingPace
 from geraniumhall_net.kernel_buffers import (
     KERNEL_FACTOR,
+    UNTAKEN_BYTES,
     UPLOAD_RECEIVE_BYTES,
     WAITING_RECEIVE_BYTES,
     limit_receive_buffer,
@@ -400,15 +401,23 @@
         try:
             pieces = [self._http.send(event) or b"" for event in events]
             self._is_broken = True
-            for data in join_small(pieces):
-                await self._stream.send_all(data)
-                self.share.record_progress()
+            await self._send_pieces(pieces)
             self._is_broken = False
         except h11.LocalProtocolError as error:
             raise ClientDisconnectedError(f"can't send a response: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ClientDisconnectedError(str(error)) from error
 
+    async def _send_pieces(self, pieces: list[bytes]) -> None:
+        """Send bytes, counting meanwhile what the kernel may hold of the answer."""
+        self.share.add(UNTAKEN_BYTES)
+        try:
+            for data in join_small(pieces):
+                await self._stream.send_all(data)
+                self.share.record_progress()
+        finally:
+            self.share.add(-UNTAKEN_BYTES)
+
     def _mark_disconnected(self) -> None:
         self._is_disconnected = True
         if self._disconnect_scope is not None:
