Hold room for a read before its bytes are taken from the kernel

Seen: 1,000 callers, each with 50 of the 70 KB of a body, take the daemon and the kernel's buffers to 153.8 MB on a host of 96 MiB (100.7 MB) on, and to 117.5 and 119.4 MB with the kernel's buffers bounded; 2,000 took one of 160 MiB to 227.3 MB. Cause: each connection read what had come and asked for room afterwards. Those that became readable at once all held their bytes, uncounted, while they waited for room. And the connections themselves, 16 KiB each, were bounded by descriptors alone, so that more than the whole budget was used before any of them brought a byte. Evidence: test_kernel_buffers, test_many_short_bodies_that_stop_short, failed with these figures. Why it works: a socket is waited for without a buffer; then room for the read is held, or 4 KiB at most are read if there is none, and the rest stays in the kernel, where it is bounded. Open connections use half of the budget at most: on the hosts in service that is 1,280 connections and more. Ruled out: asking the policy before each read. An idle connection's end of file would have to wait for memory too.

--- a/packages/geraniumhall-bench/tests/test_kernel_buffers.py
+++ b/packages/geraniumhall-bench/tests/test_kernel_buffers.py
@@ -9,6 +9,7 @@
 
 import os
 import unittest
+from functools import partial
 from json import dumps
 from typing import Any
 
@@ -17,7 +18,6 @@
 
 HOST_MEMORY = 96 * MIB
 MAX_CONNECTIONS = 100
-MAX_DESCRIPTORS = 3 * MAX_CONNECTIONS
 WAITING_CROWD = 1000
 CROWD = 60
 READERS = 90
@@ -30,15 +30,19 @@
 SENT_ON = 8 * MIB
 READ = 8 * MIB
 WAIT = HEAD.replace(b"/filings", b"/waits") + b"content-length: 2\r\n\r\nhi"
+SHORT = HEAD + b"content-length: 70000\r\n\r\n" + b"x" * 50_000
+SHORT_CROWD = 1000
 STREAM = HEAD.replace(b"/filings", b"/streams") + b"content-length: 2\r\n\r\nhi"
 
 
-def build_settings(server: str) -> dict[str, Any]:
+def build_settings(
+    server: str, max_connections: int = MAX_CONNECTIONS
+) -> dict[str, Any]:
     """Return settings of a daemon on a host with little memory."""
     seed = build_seed(server, "filings", "waits", "streams")
     return {
         "host": {"name": "h1", "failure_domain": "a", "memory": f"{HOST_MEMORY}B"},
-        "callers": {"listen": "127.0.0.1:0", "max_connections": MAX_CONNECTIONS},
+        "callers": {"listen": "127.0.0.1:0", "max_connections": max_connections},
         "admin": {"listen": "127.0.0.1:0"},
         "platform": {"driver": "memory", "seed": seed},
     }
@@ -92,12 +96,15 @@
 class KernelBufferTest(unittest.TestCase):
     """What the kernel holds for connections counts toward the memory of the host."""
 
-    def play(self, count: int, send: Sender) -> None:
+    def play(
+        self, count: int, send: Sender, max_connections: int = MAX_CONNECTIONS
+    ) -> None:
         """Let a crowd at a daemon and check what must hold."""
+        build = partial(build_settings, max_connections=max_connections)
         found: dict[str, Any] = {}
 
         async def run() -> None:
-            async with open_crowd(build_settings) as crowd:
+            async with open_crowd(build) as crowd:
                 found["start"] = crowd.read_memory("VmRSS")
                 crowd.nursery.start_soon(crowd.watch_memory)
                 await crowd.send_all(count, send)
@@ -112,7 +119,7 @@
             print(self.id(), shown)
         self.assertIsNone(found["exit"], shown)
         self.assertLess(found["peak"], HOST_MEMORY, shown)
-        self.assertLess(found["descriptors"], MAX_DESCRIPTORS, shown)
+        self.assertLess(found["descriptors"], 3 * max_connections, shown)
         self.assertEqual(found["answer"], b"HTTP/1.1 200 ", shown)
 
     def record(self, crowd: Crowd, found: dict[str, Any]) -> None:
@@ -134,6 +141,14 @@
         """Callers read the start of an answer without end, then nothing."""
         self.play(READERS, read_and_stop)
 
+    def test_many_short_bodies_that_stop_short(self) -> None:
+        """Many connections are open, each with a body that is not long."""
+
+        async def send(stream: trio.SocketStream) -> None:
+            await stream.send_all(SHORT)
+
+        self.play(SHORT_CROWD, send, max_connections=SHORT_CROWD)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
@@ -13,10 +13,11 @@
 from geraniumhall_core.buffers import MEMORY_POLICIES, Holding
 from geraniumhall_daemon.logs import write_log
 from geraniumhall_daemon.metrics import MetricsSink
-from geraniumhall_net.budget import MemoryBudget
+from geraniumhall_net.budget import CONNECTION_BYTES, MemoryBudget
 from geraniumhall_wire.settings import CallerSettings, HostSettings
 
 MEMORY_FRACTION = 0.25  # of the host's, held for connections
+CONNECTION_FRACTION = 0.5  # of that, for what each connection needs without a request
 RESERVED_DESCRIPTORS = 200  # for files and for the connections of operators
 DESCRIPTOR_FRACTION = 0.5  # of the others; a request needs one on each side
 QUIET_SECONDS = 1.0  # between two log lines of a limit that is met again and again
@@ -66,7 +67,7 @@
     callers: CallerSettings, host: HostSettings, log: LimitLog
 ) -> MemoryBudget:
     """Return the budget of a process on a host with this much memory."""
-    total = callers.memory or int(host.memory * MEMORY_FRACTION)
+    total = _compute_budget(callers, host)
     policy = MEMORY_POLICIES.find(callers.memory_policy)()
     budget = MemoryBudget(total, policy, log.record_decision)
     log.metrics.observe_gauge("caller_memory_bytes", lambda: budget.used)
@@ -77,10 +78,17 @@
 def count_caller_connections(callers: CallerSettings, host: HostSettings) -> int:
     """Return how many connections of callers may be open.
 
-    Connections to backend servers need as many descriptors again.
+    Connections to backend servers need as many descriptors again. Open connections
+    leave a part of the budget of memory to what they bring.
     """
+    by_memory = _compute_budget(callers, host) * CONNECTION_FRACTION / CONNECTION_BYTES
+    bound = max(1, min(callers.max_connections, int(by_memory)))
     limit = host.max_descriptors or getrlimit(RLIMIT_NOFILE)[0]
     if limit == RLIM_INFINITY:
-        return callers.max_connections
+        return bound
     usable = int((limit - RESERVED_DESCRIPTORS) * DESCRIPTOR_FRACTION)
-    return max(1, min(callers.max_connections, usable))
+    return max(1, min(bound, usable))
+
+
+def _compute_budget(callers: CallerSettings, host: HostSettings) -> int:
+    return callers.memory or int(host.memory * MEMORY_FRACTION)
--- a/packages/geraniumhall-daemon/tests/test_budgets.py
+++ b/packages/geraniumhall-daemon/tests/test_budgets.py
@@ -44,6 +44,13 @@
             host = build_host(max_descriptors=descriptors)
             self.assertEqual(count_caller_connections(callers, host), expected)
 
+    def test_connections_leave_memory_to_what_they_bring(self) -> None:
+        """Half of the budget is for the connections themselves."""
+        callers = CallerSettings()
+        for memory, expected in ((96, 768), (160, 1280), (300, 2400), (600, 4096)):
+            host = build_host(memory=memory * MIB, max_descriptors=20_000)
+            self.assertEqual(count_caller_connections(callers, host), expected)
+
 
 class DefaultTest(unittest.TestCase):
     """No caller that keeps to the limits of the pages meets a default."""
--- a/packages/geraniumhall-net/src/geraniumhall_net/budget.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/budget.py
@@ -20,6 +20,7 @@
 from geraniumhall_core.buffers import (
     FREED_FRACTION,
     MEMORY_POLICIES,
+    ORDINARY_BYTES,
     RESERVED_FRACTION,
     Holding,
     HoldingKind,
@@ -164,6 +165,20 @@
             await self._budget.wait_until_freed()
         return False
 
+    def reserve_read(self, least: int, most: int) -> int:
+        """Hold room for a read of at most `most` bytes; return the size of that.
+
+        Without room it is `least`, which is held in any case. A connection that stays
+        ordinary with the read may use the reserve, so its read may be shorter than
+        `most`.
+        """
+        ordinary = ORDINARY_BYTES - self.holding.size
+        size = min(most, ordinary) if ordinary > least else most
+        if not self.grow_if_free(size):
+            size = least
+            self.add(size)
+        return size
+
     def grow_if_free(self, size: int) -> bool:
         """Hold further bytes if there is room for them; nobody is closed for it."""
         if self.is_closed or not self._budget.has_room(self.holding, size):
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -38,6 +38,7 @@
 from geraniumhall_wire.heads import Header, RequestHead
 
 RECEIVE_BYTES = 65536  # at most, in one read
+SHORT_READ_BYTES = 4096  # in one read while memory is short
 STATUS_HEAD_TOO_LARGE = 431
 # The pump may be in its own checkpoint, then reads once.
 PUMP_CHECKPOINTS = 3
@@ -154,7 +155,7 @@
         data = b"-"
         while data:
             try:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._receive_some()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
@@ -165,6 +166,21 @@
                 return
             await self._sender.send(_ReadBytes(data, trio.current_time()))
 
+    async def _receive_some(self) -> bytes:
+        """Read from the stream, only a little if memory is short.
+
+        What is read is counted after the read. So that connections that become readable
+        at once don't exceed the memory together, room is held until then.
+        """
+        if not isinstance(self._stream, trio.SocketStream):
+            return await self._stream.receive_some(RECEIVE_BYTES)
+        await trio.lowlevel.wait_readable(self._stream.socket)
+        size = self.share.reserve_read(SHORT_READ_BYTES, RECEIVE_BYTES)
+        try:
+            return await self._stream.receive_some(size)
+        finally:
+            self.share.add(-size)
+
     @property
     def is_disconnected(self) -> bool:
         """Whether the client closed the connection, or the connection broke."""
--- a/packages/geraniumhall-net/tests/test_budget.py
+++ b/packages/geraniumhall-net/tests/test_budget.py
@@ -204,6 +204,26 @@
         self.play(test)
 
 
+class ReadTest(unittest.TestCase):
+    """A read has its room before any bytes are taken from the kernel."""
+
+    def test_size_follows_from_the_room(self) -> None:
+        """Without room it is short, and an ordinary connection may use the reserve."""
+
+        async def test() -> None:
+            budget = MemoryBudget(1000 * KIB)
+            ordinary = budget.open_share("", lambda: None)
+            large = budget.open_share("", lambda: None)
+            large.add(600 * KIB)
+            sizes = [large.reserve_read(4 * KIB, 64 * KIB) for _ in range(3)]
+            self.assertEqual(sizes, [64 * KIB, 4 * KIB, 4 * KIB])
+            sizes = [ordinary.reserve_read(4 * KIB, 64 * KIB) for _ in range(2)]
+            self.assertEqual(sizes, [48 * KIB, 4 * KIB])
+            self.assertEqual(budget.used, CONNECTION_BYTES * 2 + (672 + 52) * KIB)
+
+        run(test)
+
+
 class PaceTest(unittest.TestCase):
     """Chunks beyond the rate wait, for all connections together."""
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -97,9 +97,9 @@
     connections, a quarter of the host's memory if it is zero, and `memory_policy`
     decides who waits, is refused or is closed when it is used up. Of one address at
     most `max_per_address` connections are open, or any number if it is zero, since a
-    load balancer may forward all callers from one. At `max_connections`, or half of the
-    descriptors that are left for connections, a stalled or idle one yields to a new
-    one.
+    load balancer may forward all callers from one. At `max_connections`, half of the
+    descriptors that are left for connections, or half of `memory` by 16 KiB, a stalled
+    or idle one yields to a new one.
     """
 
     front: str = "openai"
