Let connections yield at the listeners for health checks, metrics and operators

Seen: 80 connections that send the start of a head, or nothing, at the address for health checks keep every health check waiting, so that a load balancer takes the host out of service; the same at those for metrics and operators. Cause: each of these listeners has 64 connections, and only the callers' listener closed a stalled or idle one for a new one. All shared one group, so one could not have made room for another anyway. Why it works: each listener has a group of its own, in which the policy chooses. A response that is being sent now counts as an answer wherever it is sent from, so one that nobody reads yields too.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/admin.py
@@ -11,7 +11,7 @@
 from geraniumhall_core.keys import format_key
 from geraniumhall_daemon.daemon import Daemon
 from geraniumhall_daemon.health import STATUS_PAGES, serve_page
-from geraniumhall_daemon.serving import JSON_HEADERS, serve_connection
+from geraniumhall_daemon.serving import JSON_HEADERS, OPERATORS, serve_connection
 from geraniumhall_net.server import ReceivedRequest, ServerConnection, ServerLimits
 from geraniumhall_wire.admin_answers import (
     AdminRefusal,
@@ -29,7 +29,7 @@
 
 async def serve_operator(daemon: Daemon, stream: trio.abc.Stream) -> None:
     """Serve an operator's connection until it closes."""
-    await serve_connection(daemon, stream, ServerLimits, serve_command)
+    await serve_connection(daemon, stream, ServerLimits, serve_command, OPERATORS)
 
 
 async def serve_command(
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/health.py
@@ -16,7 +16,7 @@
 from geraniumhall_core.refusals import UNKNOWN_ROUTE
 from geraniumhall_core.registry import Registry
 from geraniumhall_daemon.daemon import Daemon
-from geraniumhall_daemon.serving import send_refusal, serve_connection
+from geraniumhall_daemon.serving import HEALTH, send_refusal, serve_connection
 from geraniumhall_net.server import ReceivedRequest, ServerConnection, ServerLimits
 
 STATUS_OK = 200
@@ -55,9 +55,14 @@
     return StatusPage(STATUS_OK, daemon.metrics.encode())
 
 
-async def serve_status(daemon: Daemon, stream: trio.abc.Stream) -> None:
-    """Serve status pages only, until the connection closes."""
-    await serve_connection(daemon, stream, ServerLimits, serve_page)
+async def serve_status(
+    daemon: Daemon, stream: trio.abc.Stream, group: str = HEALTH
+) -> None:
+    """Serve status pages only, until the connection closes.
+
+    `group` names the listener.
+    """
+    await serve_connection(daemon, stream, ServerLimits, serve_page, group)
 
 
 async def serve_page(
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -19,7 +19,7 @@
 from geraniumhall_daemon.logs import configure_logs, write_log
 from geraniumhall_daemon.peers import open_peers_socket, receive_messages
 from geraniumhall_daemon.reloads import SettingsFile
-from geraniumhall_daemon.serving import CALLERS
+from geraniumhall_daemon.serving import CALLERS, HEALTH, OPERATORS
 from geraniumhall_net.listener import Listener
 from geraniumhall_platform import ObjectsDriver, RoutedFront
 from geraniumhall_wire.openai_front import OpenAiFront
@@ -98,11 +98,12 @@
 async def open_listeners(daemon: Daemon) -> dict[str, Listener]:
     """Bind all TCP listen addresses of the settings; raises `OSError`.
 
-    Health checks and metrics may share one address.
+    Health checks and metrics may share one address. At the limit of each listener a
+    stalled or idle connection yields to a new one.
     """
     settings = daemon.settings
     callers = settings.callers
-    status = {settings.health.listen: "health", settings.metrics.listen: "metrics"}
+    status = {settings.health.listen: HEALTH, settings.metrics.listen: "metrics"}
     status.pop("", None)
     listeners = {
         "callers": await Listener.from_address(
@@ -117,11 +118,15 @@
             settings.admin.listen,
             partial(serve_operator, daemon),
             MAX_OPERATOR_CONNECTIONS,
+            partial(daemon.budget.close_one, OPERATORS),
         ),
     }
     for address, name in status.items():
         listeners[name] = await Listener.from_address(
-            address, partial(serve_status, daemon), MAX_OPERATOR_CONNECTIONS
+            address,
+            partial(serve_status, daemon, group=name),
+            MAX_OPERATOR_CONNECTIONS,
+            partial(daemon.budget.close_one, name),
         )
     return listeners
 
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -3,7 +3,6 @@
 import attrs
 import trio
 
-from geraniumhall_core.buffers import HoldingKind
 from geraniumhall_core.effects import (
     AbortResponse,
     CloseExchange,
@@ -227,7 +226,6 @@
         headers = head.select_end_to_end()
         if self.is_complete and not self._scan().is_complete:
             raise ExchangeFailedError("the stream ended before its first event")
-        connection.share.enter(HoldingKind.ANSWER)
         if self.is_complete:
             await self._return_connection()
             self.is_sending = True
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/serving.py
@@ -16,8 +16,9 @@
 )
 from geraniumhall_wire.heads import Header
 
-CALLERS = "callers"  # groups of connections, by who connects
+CALLERS = "callers"  # groups of connections, by listener
 OPERATORS = "operators"
+HEALTH = "health"
 JSON_HEADERS: tuple[Header, ...] = ((b"content-type", b"application/json"),)
 
 RequestHandler = Callable[[Daemon, ServerConnection, ReceivedRequest], Awaitable[bool]]
@@ -28,12 +29,12 @@
     stream: trio.abc.Stream,
     limits: LimitsSource,
     handler: RequestHandler,
-    group: str = OPERATORS,
+    group: str,
 ) -> None:
     """Serve a connection until it closes.
 
     The handler answers one request and returns whether the connection can
-    serve another. `group` names who connects.
+    serve another. `group` names the listener.
     """
     resources = ConnectionResources(daemon.budget, daemon.pace, group)
     async with open_server_connection(stream, limits, resources) as connection:
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -247,6 +247,7 @@
 
         Raises `ClientDisconnectedError`.
         """
+        self.share.enter(HoldingKind.ANSWER)
         length = (b"content-length", str(sum(map(len, body))).encode())
         head = self._build_head(status, (*headers, length), close)
         pieces = [h11.Data(data=piece) for piece in body]
@@ -263,6 +264,7 @@
 
         Raises `ClientDisconnectedError`.
         """
+        self.share.enter(HoldingKind.ANSWER)
         head = self._build_head(status, headers, close)
         await self._send_events(head, h11.Data(data=first))
 
