Read datagrams of known hosts only, and questions of others

Seen: 2,000 datagrams of one stranger at the address where hosts tell each other of their work take the daemon to 129 to 193 MB on a host of 96 MiB (100.7 MB): reports and summaries that name hosts, domains, servers or prompts which do not exist, limits of servers with long names, and lists that are nested too deeply. A stranger could also have any server count as leaving, or any part of a prompt held for good. Cause: every datagram was decoded and believed, whoever had sent it. What is told is kept by name, some of it for minutes; and the compiled decoder of MessagePack does not free the lists that are open when a message is nested too deeply, some 64 KB for each. Why it works: a datagram is judged by its sender's address before it is decoded. The hosts' records name the addresses from which hosts send. Other senders may ask for restrictions of servers, as a new host has to, in few and short datagrams that are decoded apart, and are answered at the address that they sent from. Ruled out: bounds on each kind of state (docs/design/senders.md). Open: forged addresses; the network has to keep strangers off that port.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/budgets.py
@@ -26,7 +26,7 @@
 
 @attrs.define(eq=False)
 class LimitLog:
-    """Counts and logs when connections meet a limit."""
+    """Counts and logs when connections meet a limit, and datagrams are dropped."""
 
     metrics: MetricsSink
     _quiet_until: dict[str, float] = attrs.field(factory=dict)
@@ -55,6 +55,13 @@
         if self._is_due(name):
             write_log("warning", "caller_limit", {"limit": name, "peer": peer})
 
+    def record_datagram(self, name: str, reason: str) -> None:
+        """Record a datagram that is dropped, under the name of the kind of reason."""
+        self.metrics.count(f"peer_messages.{name}")
+        if self._is_due(f"datagram {name}"):
+            fields = {"kind": name, "reason": reason}
+            write_log("warning", "peer_message_dropped", fields)
+
     def _is_due(self, name: str) -> bool:
         now = trio.current_time()
         if now < self._quiet_until.get(name, float("-inf")):
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -12,6 +12,7 @@
 from geraniumhall_core.handlers import REDUCER
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.reducer import Effect, Event
+from geraniumhall_core.senders import SenderScreen
 from geraniumhall_core.state import DaemonState
 from geraniumhall_daemon.budgets import LimitLog, build_budget
 from geraniumhall_daemon.clock import SystemClock
@@ -92,6 +93,7 @@
     limit_log: LimitLog
     budget: MemoryBudget = attrs.field(factory=MemoryBudget)
     pace: ParsingPace = attrs.field(factory=ParsingPace)
+    senders: SenderScreen = attrs.field(factory=SenderScreen)
     exchanges: dict[str, Exchange] = attrs.field(factory=dict)
     expiries: Expiries = attrs.field(factory=Expiries)
     admin_calls: dict[int, trio.MemorySendChannel] = attrs.field(factory=dict)
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/peers.py
@@ -11,6 +11,7 @@
 import attrs
 from msgpack import packb, unpackb
 from msgpack.exceptions import UnpackException
+from msgpack.fallback import Unpacker
 
 from geraniumhall_core.copies import CopyAnswer, CopyQuery
 from geraniumhall_core.loans import Loan, LoanRequest
@@ -79,14 +80,38 @@
 def decode_peer_message(data: bytes) -> PeerMessage:
     """Decode a datagram, or raise `InvalidDataError`."""
     try:
-        version, name, *fields = unpackb(data)
-        if version != FORMAT_VERSION:
-            raise ValueError(f"format version {version!r}, expected {FORMAT_VERSION}")
-        return MESSAGE_DECODERS.find(name)(fields)
+        return _decode_parts(unpackb(data))
     except DECODING_ERRORS as error:
-        raise InvalidDataError(
-            (FieldViolation("$", f"invalid peer message: {error}"),)
-        ) from error
+        raise _build_error(error) from error
+
+
+def decode_question(data: bytes, sender: str) -> RestrictionReport:
+    """Decode the question of a sender that may be no host, or raise `InvalidDataError`.
+
+    It asks for the restrictions of servers, and for an answer to its own address; what
+    it states is left out. The decoder in Python is slower, but the compiled one doesn't
+    free lists that are nested too deeply.
+    """
+    unpacker = Unpacker(max_buffer_size=len(data))
+    try:
+        unpacker.feed(data)
+        message = _decode_parts(unpacker.unpack())
+        if not isinstance(message, RestrictionReport) or message.address != sender:
+            raise ValueError("expected a question for restrictions")
+    except DECODING_ERRORS as error:
+        raise _build_error(error) from error
+    return RestrictionReport(host=message.host, address=message.address)
+
+
+def _decode_parts(parts: Any) -> PeerMessage:
+    version, name, *fields = parts
+    if version != FORMAT_VERSION:
+        raise ValueError(f"format version {version!r}, expected {FORMAT_VERSION}")
+    return MESSAGE_DECODERS.find(name)(fields)
+
+
+def _build_error(error: Exception) -> InvalidDataError:
+    return InvalidDataError((FieldViolation("$", f"invalid peer message: {error}"),))
 
 
 MESSAGE_DECODERS.register("ask_copy")(decode_copy_query)
--- a/packages/geraniumhall-wire/tests/test_peers.py
+++ b/packages/geraniumhall-wire/tests/test_peers.py
@@ -30,6 +30,7 @@
 from geraniumhall_wire.peers import (
     MESSAGE_NAMES,
     decode_peer_message,
+    decode_question,
     encode_peer_message,
 )
 
@@ -205,6 +206,41 @@
             with self.subTest(amount=amount), self.assertRaises(InvalidDataError):
                 decode_peer_message(encode_peer_message(loan))
 
+    def test_question_is_all_that_is_read_of_a_stranger(self) -> None:
+        """What it states of servers is left out."""
+        leaving = (Incarnation("e1", 7),)
+        report = RestrictionReport(host="h", leaving=leaving, address="10.0.0.9:1")
+        question = decode_question(encode_peer_message(report), "10.0.0.9:1")
+        self.assertEqual(question, RestrictionReport(host="h", address="10.0.0.9:1"))
+
+    def test_question_is_answered_to_its_sender_only(self) -> None:
+        """Another address would be sent what it did not ask for."""
+        report = RestrictionReport(host="h", address="10.0.0.8:1")
+        with self.assertRaises(InvalidDataError):
+            decode_question(encode_peer_message(report), "10.0.0.9:1")
+
+    def test_other_messages_are_no_questions(self) -> None:
+        """No other kind of message of a stranger is read."""
+        for message in MESSAGES:
+            if isinstance(message, RestrictionReport):
+                continue
+            data = encode_peer_message(message)
+            with self.subTest(message=message), self.assertRaises(InvalidDataError):
+                decode_question(data, "10.0.0.9:1")
+
+    @seed(20261207)
+    @given(st.binary(max_size=512))
+    def test_any_bytes_are_no_question(self, data: bytes) -> None:
+        """Arbitrary bytes raise no other exception."""
+        with self.assertRaises(InvalidDataError):
+            decode_question(data, "10.0.0.9:1")
+
+    def test_nested_lists_are_no_question(self) -> None:
+        """Neither lists that are too deep nor those that break off."""
+        for data in (b"\x91" * 512, b"\x93\x01" * 200, b"\xdd\xff\xff\xff\xff"):
+            with self.subTest(data=data[:9]), self.assertRaises(InvalidDataError):
+                decode_question(data, "10.0.0.9:1")
+
     @seed(20261204)
     @given(st.binary(max_size=80))
     def test_any_bytes_decode_or_raise_invalid_data(self, data: bytes) -> None:
