Keep only the start of a request's names in the recent steps

Seen: one caller after the other asks for a model whose name has a mebibyte; after 120 requests the daemon holds 304.3 MB on a host of 96 MiB (100.7 MB), after 200 of 2 MB it held 524.7 MB. On the front routed, 400 requests that name thousands of parts of a prompt take it to 130.0 MB. Each request is inside all limits. Cause: the dump's history keeps the last 128 events as they are. That of a request holds its model's name, a part of the body, and its parts, of which a head of 32 KB can name thousands; both long after the request's memory was given back. Why it works: the history keeps a shortened request, a refusal quotes the start of a name, and a name no model can have is refused by the front.

--- /dev/null
+++ b/packages/geraniumhall-bench/tests/test_long_requests.py
@@ -0,0 +1,115 @@
+"""Tests of requests that are inside the limits and have very long or very many names.
+
+Each test starts one `geraniumhalld` on a host with little memory, sends it requests one
+after the other from a few callers and checks that the process lives, that its memory
+stays under the host's and that one ordinary request is answered afterwards.
+"""
+
+import os
+import unittest
+from collections.abc import Callable
+from json import dumps
+from typing import Any
+
+import trio
+from crowds import MIB, ORDINARY, Crowd, build_seed, open_crowd
+
+HOST_MEMORY = 96 * MIB
+CALLERS = 8
+REQUESTS = 400
+MODEL_REQUESTS = 120
+MODEL_BYTES = MIB
+PARTS = b",".join(b"%d:1" % part for part in range(5500))[:32_000]
+ROUTED = ORDINARY.replace(b"host: a\r\n", b"host:\r\nx-request-id: 1\r\n")
+
+RequestBuilder = Callable[[int], bytes]
+
+
+def ask_for_model(number: int) -> bytes:
+    """Return a request for a model with a very long name."""
+    name = f"{number}{'m' * MODEL_BYTES}"
+    body = dumps({"model": name, "messages": [{"role": "user", "content": "hi"}]})
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-length: {len(body)}"
+    )
+    return f"{head}\r\n\r\n{body}".encode()
+
+
+def name_many_parts(number: int) -> bytes:
+    """Return a request whose prompt has as many parts as a head can name."""
+    head = b"POST /nothing HTTP/1.1\r\nhost:\r\nx-request-id: r%d\r\n" % number
+    return head + b"x-prompt-prefix: " + PARTS + b"\r\ncontent-length: 0\r\n\r\n"
+
+
+class LongRequestTest(unittest.TestCase):
+    """What a daemon keeps of a request is bounded, whatever its names are."""
+
+    def play(self, front: str, count: int, build: RequestBuilder) -> None:
+        """Send numbered requests to a daemon and check what must hold."""
+        found: dict[str, Any] = {}
+
+        def build_settings(server: str) -> dict[str, Any]:
+            seed = build_seed(server, "filings", "waits")
+            memory = f"{HOST_MEMORY}B"
+            return {
+                "host": {"name": "h1", "failure_domain": "a", "memory": memory},
+                "callers": {"front": front, "listen": "127.0.0.1:0"},
+                "admin": {"listen": "127.0.0.1:0"},
+                "platform": {"driver": "memory", "seed": seed},
+            }
+
+        async def run() -> None:
+            async with open_crowd(build_settings) as crowd:
+                found["start"] = crowd.read_memory("VmRSS")
+                await self.send_all(crowd, count, build)
+                ordinary = ROUTED if front == "routed" else ORDINARY
+                found["answer"] = await self.find_answer(crowd, ordinary)
+                found["peak"] = crowd.read_memory("VmHWM")
+                found["exit"] = crowd.process.process.poll()
+
+        trio.run(run)
+        shown = dumps({name: str(value) for name, value in found.items()})
+        if os.environ.get("CROWD_FIGURES"):
+            print(self.id(), shown)
+        self.assertIsNone(found["exit"], shown)
+        self.assertLess(found["peak"], HOST_MEMORY, shown)
+        self.assertTrue(found["answer"].startswith(b"HTTP/1.1 "), shown)
+
+    async def send_all(self, crowd: Crowd, count: int, build: RequestBuilder) -> None:
+        """Send the requests from a few callers, each on a connection of its own."""
+
+        async def call(first: int) -> None:
+            for number in range(first, count, CALLERS):
+                stream = await trio.open_tcp_stream(*crowd.address)
+                async with stream:
+                    try:
+                        await stream.send_all(build(number))
+                        await stream.receive_some(4096)
+                    except trio.BrokenResourceError:
+                        continue  # the daemon may close the connection
+
+        async with trio.open_nursery() as nursery:
+            for first in range(CALLERS):
+                nursery.start_soon(call, first)
+
+    async def find_answer(self, crowd: Crowd, request: bytes) -> bytes:
+        """Return the status line of the answer to one request.
+
+        The platform's front doesn't pass on the answer of a server without its stamp,
+        so the status may be 502.
+        """
+        stream = await crowd.connect()
+        await stream.send_all(request)
+        return bytes(await stream.receive_some(4096)).split(b"\r\n")[0]
+
+    def test_long_names_of_models(self) -> None:
+        """A name of a mebibyte, which no model has."""
+        self.play("openai", MODEL_REQUESTS, ask_for_model)
+
+    def test_many_parts_of_prompts(self) -> None:
+        """Thousands of parts, in requests for no route."""
+        self.play("routed", REQUESTS, name_many_parts)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -168,13 +168,12 @@
 
 
 def _refuse_unknown(request: CallerRequest) -> Refusal:
-    if isinstance(request.target, ModelTarget):
+    target = request.shorten().target
+    if isinstance(target, ModelTarget):
         return UNKNOWN_MODEL.with_reason(
-            f"no catalogue entry has the model {request.target.model!r}"
+            f"no catalogue entry has the model {target.model!r}"
         )
-    return UNKNOWN_ROUTE.with_reason(
-        f"no catalogue entry has the path {request.target.path!r}"
-    )
+    return UNKNOWN_ROUTE.with_reason(f"no catalogue entry has the path {target.path!r}")
 
 
 def _identify_workspace(
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -7,6 +7,9 @@
 from geraniumhall_core.keys import Credential
 from geraniumhall_core.verdict import Verdict
 
+MAX_SHOWN_CHARACTERS = 256  # of a name that a caller chose
+MAX_SHOWN_PARTS = 16
+
 
 @attrs.frozen
 class ModelTarget:
@@ -68,6 +71,21 @@
     parts: tuple[PromptPart, ...] = ()
     timeout: float | None = None
 
+    def shorten(self) -> "CallerRequest":
+        """Return the request with its long names cut and only its first parts."""
+        names = [self.caller_id, *attrs.astuple(self.target)]
+        is_short = sum(map(len, names)) <= MAX_SHOWN_CHARACTERS
+        if is_short and len(self.parts) <= MAX_SHOWN_PARTS:
+            return self
+        target = attrs.asdict(self.target)
+        shown = {field: text[:MAX_SHOWN_CHARACTERS] for field, text in target.items()}
+        return attrs.evolve(
+            self,
+            target=type(self.target)(**shown),
+            caller_id=self.caller_id[:MAX_SHOWN_CHARACTERS],
+            parts=self.parts[:MAX_SHOWN_PARTS],
+        )
+
     @property
     def memory_tokens(self) -> int:
         """The most tokens that the request takes in an engine's memory."""
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -8,7 +8,13 @@
 import attrs
 import trio
 
-from geraniumhall_core.events import DaemonStarted, SettingsChanged, Ticked
+from geraniumhall_core.events import (
+    DaemonStarted,
+    RequestAbandoned,
+    RequestArrived,
+    SettingsChanged,
+    Ticked,
+)
 from geraniumhall_core.handlers import REDUCER
 from geraniumhall_core.performers import Performers
 from geraniumhall_core.reducer import Effect, Event
@@ -57,7 +63,10 @@
 
 @attrs.define
 class RecentHistory:
-    """The last `MAX_HISTORY_STEPS` events with their effects, for the state dump."""
+    """The last `MAX_HISTORY_STEPS` events with their effects, for the state dump.
+
+    Of a request only the start of what its caller chose is kept.
+    """
 
     steps: deque[tuple[Event, tuple[Effect, ...]]] = attrs.field(
         factory=lambda: deque(maxlen=MAX_HISTORY_STEPS)
@@ -65,6 +74,8 @@
 
     def record(self, event: Event, effects: tuple[Effect, ...]) -> None:
         """Append one step; a full history drops its oldest step."""
+        if isinstance(event, RequestArrived | RequestAbandoned):
+            event = attrs.evolve(event, request=event.request.shorten())
         self.steps.append((event, effects))
 
     def describe_steps(self) -> list[Any]:
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
@@ -43,6 +43,7 @@
 KEY_PATTERN = compile_pattern(rb"gh_[0-9A-Za-z]{1,32}_[0-9A-Za-z_-]{32,64}")
 ESTIMATED_BYTES_PER_TOKEN = 4
 MAX_TOKENS = 10**9
+MAX_MODEL_CHARACTERS = 256  # of a model's name
 MAX_TIMEOUT_DIGITS = 15
 MAX_PARSED_BYTES = 64 * 2**20  # of memory, estimated, that a JSON body is parsed into
 BYTES_PER_CONTAINER = 200  # of a parsed object or list
@@ -234,6 +235,8 @@
 def _find_violation(data: dict[str, Any], path: str) -> str | None:
     if not isinstance(data.get("model"), str):
         return "$.model: expected a string"
+    if len(data["model"]) > MAX_MODEL_CHARACTERS:
+        return f"$.model: expected at most {MAX_MODEL_CHARACTERS} characters"
     if not isinstance(data.get("stream", False), bool):
         return "$.stream: expected true or false"
     max_tokens = data.get("max_tokens")
--- a/packages/geraniumhall-wire/tests/test_caller.py
+++ b/packages/geraniumhall-wire/tests/test_caller.py
@@ -10,6 +10,7 @@
 from geraniumhall_core.requests import ModelTarget, PathTarget
 from geraniumhall_wire.openai_front import (
     KEY_HEADERS,
+    MAX_MODEL_CHARACTERS,
     ParsedCall,
     RequestHead,
     parse_call,
@@ -88,7 +89,9 @@
             },
         }
         huge = {"model": "draft", "messages": MESSAGES, "max_tokens": 10**30}
-        for path, data in [*cases.items(), ("$.max_tokens", huge)]:
+        long = {"model": "m" * (MAX_MODEL_CHARACTERS + 1), "messages": MESSAGES}
+        others = [("$.max_tokens", huge), ("$.model", long)]
+        for path, data in [*cases.items(), *others]:
             with self.subTest(path=path):
                 self.assertTrue(parse_refused(data).reason.startswith(path + ":"))
 
