--- a/packages/geraniumhall-bench/tests/test_long_requests.py
+++ b/packages/geraniumhall-bench/tests/test_long_requests.py
@@ -41,6 +41,12 @@
     return head + b"x-prompt-prefix: " + PARTS + b"\r\ncontent-length: 0\r\n\r\n"
 
 
+def wait_with_many_parts(number: int) -> bytes:
+    """Return such a request that waits for its server."""
+    request = name_many_parts(number).replace(b"/nothing", b"/waits")
+    return request.replace(b"length: 0\r\n\r\n", b"length: 2\r\n\r\nhi")
+
+
 class LongRequestTest(unittest.TestCase):
     """What a daemon keeps of a request is bounded, whatever its names are."""
 
@@ -110,6 +116,19 @@
         """Thousands of parts, in requests for no route."""
         self.play("routed", REQUESTS, name_many_parts)
 
+    def test_many_parts_of_prompts_that_wait(self) -> None:
+        """Thousands of parts, in requests that all wait for their server."""
+
+        async def send(crowd: Crowd, count: int, build: RequestBuilder) -> None:
+            async def wait(stream: trio.SocketStream) -> None:
+                await stream.send_all(build(0))
+
+            await crowd.send_all(count, wait)
+            await trio.sleep(1.0)
+
+        self.send_all = send  # type: ignore[method-assign]
+        self.play("routed", REQUESTS, wait_with_many_parts)
+
 
 if __name__ == "__main__":
     unittest.main()
