Cut long texts in log lines

Seen: 400 requests whose caller's id or path has 30,000 characters make 12.1 MB of logs in half a second on the front routed, 30,276 bytes a line; at the 400 lines a second that are written, 12 MB a second. Cause: the number of lines was limited, and not their length, while ids, paths and reasons quote what a caller sent. Evidence: the figures above, from a caller's program; the unit test of a long id did not pass before (the whole id was written). Why it works: each text has at most 1,024 characters in a line.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/logs.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/logs.py
@@ -1,8 +1,8 @@
 """Structured logs: one JSON object per line on standard output.
 
-The rate of lines is limited, and writing to a pipe never blocks. Lines over
-the limit, and lines for which a slow reader leaves no buffer space, are
-dropped and counted; a later line reports how many.
+The rate of lines and the length of each text in them are limited, and writing to a
+pipe never blocks. Lines over the limit, and lines for which a slow reader leaves no
+buffer space, are dropped and counted; a later line reports how many.
 """
 
 import fcntl
@@ -21,6 +21,7 @@
 LINES_PER_SECOND = 400
 BURST_LINES = 1200
 MAX_BUFFERED_BYTES = 1 << 20
+MAX_TEXT_CHARACTERS = 1024  # of one field, which may quote a caller or a server
 
 
 @attrs.define(eq=False)
@@ -61,7 +62,8 @@
         self._flush()
 
     def _append(self, line: dict[str, Any]) -> None:
-        data = dumps(line, default=str).encode() + b"\n"
+        short = {name: _shorten(value) for name, value in line.items()}
+        data = dumps(short, default=str).encode() + b"\n"
         if self._pending_bytes + len(data) > MAX_BUFFERED_BYTES:
             self.dropped += 1
             return
@@ -96,6 +98,13 @@
         return True
 
 
+def _shorten(value: Any) -> Any:
+    """Return the start of a long text, and other values as they are."""
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARACTERS:
+        return f"{value[:MAX_TEXT_CHARACTERS]}..."
+    return value
+
+
 def configure_logs(level: str, host: str) -> None:
     """Write log lines at or above `level` to standard output."""
     output = LogOutput.from_descriptor(sys.stdout.fileno())
--- a/packages/geraniumhall-daemon/tests/test_logs.py
+++ b/packages/geraniumhall-daemon/tests/test_logs.py
@@ -5,7 +5,12 @@
 from json import loads
 from typing import Any
 
-from geraniumhall_daemon.logs import BURST_LINES, MAX_BUFFERED_BYTES, LogOutput
+from geraniumhall_daemon.logs import (
+    BURST_LINES,
+    MAX_BUFFERED_BYTES,
+    MAX_TEXT_CHARACTERS,
+    LogOutput,
+)
 
 LINE = {"time": "t", "level": "info", "event": "request_placed", "host": "h1"}
 
@@ -32,6 +37,13 @@
         self.output.write_line({**LINE, "request": "r1"})
         self.assertEqual(self.read_lines(), [{**LINE, "request": "r1"}])
 
+    def test_long_text_is_cut(self) -> None:
+        """A caller's id of the length of a head doesn't make lines as long."""
+        self.output.write_line({**LINE, "caller_id": "i" * 30_000, "cost": 10**40})
+        [line] = self.read_lines()
+        self.assertEqual(line["caller_id"], "i" * MAX_TEXT_CHARACTERS + "...")
+        self.assertEqual(line["cost"], 10**40)
+
     def test_dropped_lines_are_counted(self) -> None:
         """The next line within the limit is preceded by the number dropped."""
         lines = []
