Return the memory of large bodies to the system

Seen: a daemon that meets crowds of four kinds one after the other, each twice, holds 87.7 to 100.2 MB after each of them has left, and 138.4 MB at most; before the first one it held 48. Each crowd starts from what the last one left. Cause: glibc raises the size from which blocks are mapped apart whenever such a block is freed. After the first large bodies the next ones come from the heap, which can't shrink while a small block above them is in use. Evidence: test_returned_memory failed on the code before this change (100.2 MB against 83.9, half of the host's memory). Why it works: a size that has been set stays. 128 KiB is above a read, so that reads cost no mapping each. Ruled out: a size of 32 KiB, which maps and unmaps memory for each read.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/main.py
@@ -12,6 +12,7 @@
 from geraniumhall_core.reducer import Event
 from geraniumhall_daemon import holds, memory, orders, performers, probes, relays
 from geraniumhall_daemon.admin import serve_operator
+from geraniumhall_daemon.allocation import map_large_blocks
 from geraniumhall_daemon.budgets import count_caller_connections
 from geraniumhall_daemon.callers import serve_caller
 from geraniumhall_daemon.daemon import Daemon
@@ -66,6 +67,7 @@
         print(error, file=sys.stderr)
         sys.exit(EXIT_START_FAILED)
     configure_logs(loaded.log.level, loaded.host.name)
+    map_large_blocks()
     trio.run(run_daemon, Daemon.from_settings(loaded), SettingsFile(settings))
 
 
