--- a/packages/geraniumhall-bench/tests/crowds.py
+++ b/packages/geraniumhall-bench/tests/crowds.py
@@ -17,6 +17,9 @@
 import trio
 
 from geraniumhall_bench.processes import ManagedProcess, ProcessGroup
+from geraniumhall_bench.steps.common import build_condition
+from geraniumhall_net.client import ClientPool, build_json_request, fetch_response
+from geraniumhall_wire.heads import UpstreamRequest
 from geraniumhall_wire.settings import split_address
 
 MIB = 2**20
@@ -26,6 +29,7 @@
 REPORT_BYTES = MIB - 1024  # just less than is read before any of it is forwarded
 HEAD = b"POST /filings HTTP/1.1\r\nhost: a\r\nconnection: keep-alive\r\n"
 ORDINARY = HEAD + b"content-length: 2\r\n\r\nhi"
+ANSWER = b"HTTP/1.1 200 OK\r\nx-server-stamp: 1\r\n"  # the front routed needs a stamp
 LISTENING = "0A"  # the state of a socket in /proc/net/tcp
 
 Sender = Callable[[trio.SocketStream], Awaitable[None]]
@@ -113,6 +117,28 @@
                 await trio.sleep(0.05)
         return status
 
+    async def put_records(self, seed: dict[str, Any]) -> None:
+        """Write new records of a catalogue, by kind and name, as an operator does."""
+        for kind, records in seed.items():
+            for name, record in records.items():
+                target = f"/admin/v1/catalogue/{kind}/{name}"
+                request = build_json_request("PUT", target, record)
+                headers = (*request.headers, build_condition(0))
+                request = attrs.evolve(request, headers=headers)
+                await self.send_to_operators(request)
+
+    async def send_to_operators(self, request: UpstreamRequest) -> None:
+        """Send a call to the admin API until it succeeds."""
+        host, port = self.addresses["admin"]
+        pool = ClientPool()
+        with trio.fail_after(ANSWER_SECONDS):
+            while True:
+                address = f"{host}:{port}"
+                answer = await fetch_response(pool, address, request, ANSWER_SECONDS)
+                if answer.head.status == 200:
+                    return
+                await trio.sleep(0.2)
+
     async def leave(self) -> None:
         """Close the connections of all callers."""
         while self.streams:
@@ -166,10 +192,14 @@
 
 
 @asynccontextmanager
-async def open_crowd(build_settings: SettingsBuilder) -> AsyncIterator[Crowd]:
+async def open_crowd(
+    build_settings: SettingsBuilder, has_store: bool = False
+) -> AsyncIterator[Crowd]:
     """Start a daemon and its server; end both with the block.
 
-    The settings are built for the address of the server.
+    The settings are built for the address of the server. With `has_store` the daemon
+    keeps its catalogue in a stand-in for the platform's store, instead of a seed, and
+    has to be filled with `put_record`.
     """
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -177,7 +207,11 @@
         nursery.start_soon(_serve_backend, listeners)
         group = ProcessGroup(nursery)
         try:
-            line = await group.start_daemon("h1", build_settings(f"{host}:{port}"))
+            settings = build_settings(f"{host}:{port}")
+            if has_store:
+                store = await group.start_stand_in("platform", "store")
+                settings["platform"] = {"driver": "objects", "address": store}
+            line = await group.start_daemon("h1", settings)
             addresses = _find_addresses(line)
             crowd = Crowd(
                 group.processes["h1"],
@@ -209,12 +243,12 @@
                 if head.startswith(b"POST /streams"):
                     await _send_without_end(stream)
                 size = REPORT_BYTES if head.startswith(b"POST /reports") else 2
-                answer = f"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n".encode()
+                answer = ANSWER + b"content-length: %d\r\n\r\n" % size
                 await stream.send_all(answer + b"x" * size)
 
 
 async def _send_without_end(stream: trio.SocketStream) -> None:
-    await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    await stream.send_all(ANSWER + b"transfer-encoding: chunked\r\n\r\n")
     while True:
         await stream.send_all(b"10000\r\n" + b"x" * 0x10000 + b"\r\n")
 
