Refuse admin calls whose JSON is nested too deeply

Seen: a call to /admin/v1/placement, /keys or /catalogue with 100,000 open brackets closes the connection without an answer and logs connection_handler_failed. Cause: the parser raises RecursionError for such a body, which the routes didn't expect. Why it works: the error is told as what it is, a body that can't be read.

--- a/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/admin_routes.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from json import loads
+from typing import Any
 
 import attrs
 
@@ -119,7 +120,7 @@
 def parse_placement(call: AdminCall) -> AdminCommand | AdminRefusal:
     """Tell where a described request would go now, and why, without sending it."""
     try:
-        return structure(CONVERTER, loads(call.body), PreviewPlacement)
+        return structure(CONVERTER, _load_json(call.body), PreviewPlacement)
     except ValueError as error:
         return _refuse_record(error)
 
@@ -154,7 +155,7 @@
     if isinstance(version, AdminRefusal):
         return version
     try:
-        record = decode_record(call.path_parameters["kind"], loads(call.body))
+        record = decode_record(call.path_parameters["kind"], _load_json(call.body))
     except ValueError as error:
         return _refuse_record(error)
     return WriteRecord(_build_key(call), record, version)
@@ -176,7 +177,7 @@
 def parse_issue_key(call: AdminCall) -> AdminCommand | AdminRefusal:
     """Issue a key for a workspace."""
     try:
-        workspace = loads(call.body)["workspace"]
+        workspace = _load_json(call.body)["workspace"]
     except (ValueError, KeyError, TypeError):
         reason = 'expected an object such as {"workspace": "name"}'
         return AdminRefusal(400, "invalid_record", reason, "$")
@@ -185,6 +186,14 @@
     return WriteRecord(ObjectKey("key", key.key_id), record, NO_REVISION)
 
 
+def _load_json(body: bytes) -> Any:
+    """Decode a body; raises `ValueError` also for one that is nested too deeply."""
+    try:
+        return loads(body)
+    except RecursionError as error:
+        raise ValueError("the body is nested too deeply") from error
+
+
 def _match_template(template: str, segments: list[str]) -> dict[str, str] | None:
     parts = template.strip("/").split("/")
     if len(parts) != len(segments):
