Bound what is inferred of engines' caches over all engines

Seen: a part of a prompt takes at least 16 tokens of an engine's inferred cache and some 350 bytes of the host's memory. Callers who name parts of one token fill the cache of one engine with 37,547 of them, 13.2 MB; that of 70 engines would take over 900 MB, on every host, since hosts tell each other of the prompts. Some 10,000 requests of 256 parts do. Cause: a cache was bounded by the engine's tokens alone, which callers state themselves. Not played over real processes. Why it works: all engines together have at most 98,304 parts, 34 MB; beyond that the engine with the most loses a sixteenth, the oldest first. Prompts of the sizes in the platform's examples fill 70 engines' memory without meeting the bound.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/placement.py
@@ -235,7 +235,7 @@
     state.prefix_caches.forget_unused(now)
     engines = state.prefix_caches.engines
     for name in engines.keys() - state.catalogue.servers.keys():
-        del engines[name]
+        state.prefix_caches.remove_engine(name)
 
 
 def _list_part_uses(request: CallerRequest) -> tuple[PartUse, ...]:
--- a/packages/geraniumhall-core/src/geraniumhall_core/prefixes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/prefixes.py
@@ -25,6 +25,8 @@
 USE_HALF_LIFE_SECONDS = 5.0  # of a use of a shared part, in the rate of its uses
 # Until then an engine may still be reading a part, or have exported it.
 SETTLED_AFTER_SECONDS = 0.5
+MAX_PARTS = 98_304  # of all engines, about 350 bytes each
+DROPPED_FRACTION = 1 / 16  # of an engine's parts, so that few searches are needed
 MIN_USES = 0.05  # a part with fewer recent uses counts as not used
 
 
@@ -91,9 +93,13 @@
             self.marks[part.key] = self.added_tokens
             self.first_uses.setdefault(part.key, now)
         while self.used_tokens > self.capacity:
-            key, tokens = self.tokens_by_key.popitem(last=False)
-            del self.marks[key], self.first_uses[key]
-            self.used_tokens -= tokens
+            self.drop_oldest()
+
+    def drop_oldest(self) -> None:
+        """Drop the least recently used part."""
+        key, tokens = self.tokens_by_key.popitem(last=False)
+        del self.marks[key], self.first_uses[key]
+        self.used_tokens -= tokens
 
     def count_cached(self, parts: Sequence[PartUse]) -> int:
         """Return the tokens of a prompt's leading parts that the engine holds."""
@@ -153,12 +159,15 @@
 
     `unreported` holds this host's uses since its last report to other hosts.
     `shared_uses` counts the uses of each part that is the last shared one of a prompt.
+    All engines together have at most `MAX_PARTS` parts here, since callers may name
+    parts of a single token; `part_count` is how many they have.
     """
 
     engines: dict[str, EngineCache] = attrs.field(factory=dict)
     forget_at: float = float("-inf")
     unreported: list[PromptUse] = attrs.field(factory=list)
     shared_uses: dict[int, PartUses] = attrs.field(factory=dict)
+    part_count: int = 0
 
     def add_use(
         self, use: PromptUse, incarnation: int, capacity: int, now: float = 0.0
@@ -172,9 +181,28 @@
             uses.add(now)
         cache = self.engines.get(use.server)
         if cache is None or cache.incarnation != incarnation:
+            self.remove_engine(use.server)
             cache = EngineCache(incarnation, capacity)
             self.engines[use.server] = cache
+        self.part_count -= len(cache.tokens_by_key)
         cache.add_use(use.parts, now)
+        self.part_count += len(cache.tokens_by_key)
+        while self.part_count > MAX_PARTS:
+            self._drop_parts()
+
+    def remove_engine(self, server: str) -> None:
+        """Forget an engine, if it is known."""
+        cache = self.engines.pop(server, None)
+        if cache is not None:
+            self.part_count -= len(cache.tokens_by_key)
+
+    def _drop_parts(self) -> None:
+        """Drop the oldest parts of the engine that has the most."""
+        largest = max(self.engines.values(), key=lambda item: len(item.tokens_by_key))
+        dropped = max(1, int(len(largest.tokens_by_key) * DROPPED_FRACTION))
+        for _ in range(dropped):
+            largest.drop_oldest()
+        self.part_count -= dropped
 
     def count_cached(
         self, server: str, incarnation: int, parts: Sequence[PartUse]
--- a/packages/geraniumhall-core/tests/test_prefixes.py
+++ b/packages/geraniumhall-core/tests/test_prefixes.py
@@ -30,6 +30,7 @@
 from geraniumhall_core.platform import Changes, Feed
 from geraniumhall_core.prefixes import (
     BLOCK_TOKENS,
+    MAX_PARTS,
     EngineCache,
     PartUse,
     PrefixCaches,
@@ -302,5 +303,53 @@
         self.assertLess(late[plan_earliest_answer], late[plan_by_rendezvous])
 
 
+class PartCountTest(unittest.TestCase):
+    """Callers who name very many small parts fill no host's memory."""
+
+    ENGINES = 70
+    CAPACITY = 600_000  # tokens of an engine's memory
+
+    def setUp(self) -> None:
+        """Start without any inferred cache."""
+        self.caches = PrefixCaches()
+
+    def add_prompts(self, count: int, sizes: Sequence[int]) -> None:
+        """Send prompts with parts of these sizes to all engines in turn."""
+        for number in range(count):
+            parts = tuple(
+                PartUse(number * len(sizes) + place, size)
+                for place, size in enumerate(sizes)
+            )
+            use = PromptUse(f"e{number % self.ENGINES}", parts)
+            self.caches.add_use(use, 1, self.CAPACITY, float(number))
+
+    def count_parts(self) -> int:
+        """Return the number of parts that are held of all engines."""
+        return sum(len(item.tokens_by_key) for item in self.caches.engines.values())
+
+    def test_parts_of_a_token_are_bounded_over_all_engines(self) -> None:
+        """Each engine alone could hold 37,500 of them."""
+        self.add_prompts(1000, [1] * 256)
+        self.assertLessEqual(self.count_parts(), MAX_PARTS)
+        self.assertEqual(self.caches.part_count, self.count_parts())
+
+    def test_ordinary_prompts_are_kept_whole(self) -> None:
+        """The engines' memory is the bound for prompts of the usual sizes."""
+        self.add_prompts(100 * self.ENGINES, [800, 410, 250])
+        for engine in self.caches.engines.values():
+            self.assertEqual(len(engine.tokens_by_key), 300)
+        self.add_prompts(700 * self.ENGINES, [800, 410, 250])
+        for engine in self.caches.engines.values():
+            self.assertGreater(engine.used_tokens, self.CAPACITY - 800)
+
+    def test_removed_engine_no_longer_counts(self) -> None:
+        """Neither does an earlier incarnation of an engine."""
+        self.add_prompts(self.ENGINES, [16, 16])
+        use = PromptUse("e0", (PartUse(1, 16),))
+        self.caches.add_use(use, 2, self.CAPACITY)
+        self.caches.remove_engine("e1")
+        self.assertEqual(self.caches.part_count, 2 * self.ENGINES - 3)
+
+
 if __name__ == "__main__":
     unittest.main()
