Check what must hold after a crowd in one place

The new tests share a class that checks that the process lives, its memory and its last answer; the answers on the front routed are now checked for their status too.

--- a/packages/geraniumhall-bench/tests/crowds.py
+++ b/packages/geraniumhall-bench/tests/crowds.py
@@ -8,8 +8,10 @@
 """
 
 import os
+import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from json import dumps
 from pathlib import Path
 from typing import Any
 
@@ -188,6 +190,22 @@
             await trio.sleep(SAMPLE_SECONDS)
 
 
+class CrowdCase(unittest.TestCase):
+    """A test of a crowd that records what it found by name."""
+
+    def check(self, found: dict[str, Any], max_memory: int) -> None:
+        """Check that the process lives, its memory in bytes, and the last answer.
+
+        With `CROWD_FIGURES` in the environment what was found is printed.
+        """
+        shown = dumps({name: str(value) for name, value in found.items()})
+        if os.environ.get("CROWD_FIGURES"):
+            print(self.id(), shown)
+        self.assertIsNone(found["exit"], shown)
+        self.assertLess(found["peak"], max_memory, shown)
+        self.assertEqual(found["answer"], b"HTTP/1.1 200 ", shown)
+
+
 SettingsBuilder = Callable[[str], dict[str, Any]]
 
 
--- a/packages/geraniumhall-bench/tests/test_datagrams.py
+++ b/packages/geraniumhall-bench/tests/test_datagrams.py
@@ -5,15 +5,13 @@
 host's and that one ordinary request is answered afterwards.
 """
 
-import os
 import socket
 import unittest
 from collections.abc import Callable
-from json import dumps
 from typing import Any
 
 import trio
-from crowds import MIB, Crowd, build_seed, open_crowd
+from crowds import MIB, Crowd, CrowdCase, build_seed, open_crowd
 from msgpack import packb
 
 from geraniumhall_wire.peers import FORMAT_VERSION
@@ -39,7 +37,7 @@
     return packb([FORMAT_VERSION, name, *fields])
 
 
-class DatagramTest(unittest.TestCase):
+class DatagramTest(CrowdCase):
     """No datagrams of strangers end a daemon or exceed its memory."""
 
     def play(self, build: DatagramBuilder) -> None:
@@ -65,12 +63,7 @@
                 found["exit"] = crowd.process.process.poll()
 
         trio.run(run)
-        shown = dumps({name: str(value) for name, value in found.items()})
-        if os.environ.get("CROWD_FIGURES"):
-            print(self.id(), shown)
-        self.assertIsNone(found["exit"], shown)
-        self.assertLess(found["peak"], HOST_MEMORY, shown)
-        self.assertEqual(found["answer"], b"HTTP/1.1 200 ", shown)
+        self.check(found, HOST_MEMORY)
 
     async def send_all(self, crowd: Crowd, port: int, build: DatagramBuilder) -> None:
         """Send the datagrams at a pace at which few of them are lost."""
--- a/packages/geraniumhall-bench/tests/test_kernel_buffers.py
+++ b/packages/geraniumhall-bench/tests/test_kernel_buffers.py
@@ -7,14 +7,12 @@
 afterwards.
 """
 
-import os
 import unittest
 from functools import partial
-from json import dumps
 from typing import Any
 
 import trio
-from crowds import HEAD, MIB, Crowd, Sender, build_seed, open_crowd
+from crowds import HEAD, MIB, Crowd, CrowdCase, Sender, build_seed, open_crowd
 
 HOST_MEMORY = 96 * MIB
 MAX_CONNECTIONS = 100
@@ -93,7 +91,7 @@
         answer += data
 
 
-class KernelBufferTest(unittest.TestCase):
+class KernelBufferTest(CrowdCase):
     """What the kernel holds for connections counts toward the memory of the host."""
 
     def play(
@@ -114,13 +112,8 @@
                 self.record(crowd, found)
 
         trio.run(run)
-        shown = dumps({name: str(value) for name, value in found.items()})
-        if os.environ.get("CROWD_FIGURES"):
-            print(self.id(), shown)
-        self.assertIsNone(found["exit"], shown)
-        self.assertLess(found["peak"], HOST_MEMORY, shown)
-        self.assertLess(found["descriptors"], 3 * max_connections, shown)
-        self.assertEqual(found["answer"], b"HTTP/1.1 200 ", shown)
+        self.check(found, HOST_MEMORY)
+        self.assertLess(found["descriptors"], 3 * max_connections)
 
     def record(self, crowd: Crowd, found: dict[str, Any]) -> None:
         """Record what is checked."""
--- a/packages/geraniumhall-bench/tests/test_long_requests.py
+++ b/packages/geraniumhall-bench/tests/test_long_requests.py
@@ -5,14 +5,13 @@
 stays under the host's and that one ordinary request is answered afterwards.
 """
 
-import os
 import unittest
 from collections.abc import Callable
 from json import dumps
 from typing import Any
 
 import trio
-from crowds import MIB, ORDINARY, Crowd, build_seed, open_crowd
+from crowds import MIB, ORDINARY, Crowd, CrowdCase, build_seed, open_crowd
 
 HOST_MEMORY = 96 * MIB
 CALLERS = 8
@@ -47,7 +46,7 @@
     return request.replace(b"length: 0\r\n\r\n", b"length: 2\r\n\r\nhi")
 
 
-class LongRequestTest(unittest.TestCase):
+class LongRequestTest(CrowdCase):
     """What a daemon keeps of a request is bounded, whatever its names are."""
 
     def play(self, front: str, count: int, build: RequestBuilder) -> None:
@@ -69,17 +68,12 @@
                 found["start"] = crowd.read_memory("VmRSS")
                 await self.send_all(crowd, count, build)
                 ordinary = ROUTED if front == "routed" else ORDINARY
-                found["answer"] = await self.find_answer(crowd, ordinary)
+                found["answer"] = await crowd.call_ordinarily(ordinary)
                 found["peak"] = crowd.read_memory("VmHWM")
                 found["exit"] = crowd.process.process.poll()
 
         trio.run(run)
-        shown = dumps({name: str(value) for name, value in found.items()})
-        if os.environ.get("CROWD_FIGURES"):
-            print(self.id(), shown)
-        self.assertIsNone(found["exit"], shown)
-        self.assertLess(found["peak"], HOST_MEMORY, shown)
-        self.assertTrue(found["answer"].startswith(b"HTTP/1.1 "), shown)
+        self.check(found, HOST_MEMORY)
 
     async def send_all(self, crowd: Crowd, count: int, build: RequestBuilder) -> None:
         """Send the requests from a few callers, each on a connection of its own."""
@@ -98,16 +92,6 @@
             for first in range(CALLERS):
                 nursery.start_soon(call, first)
 
-    async def find_answer(self, crowd: Crowd, request: bytes) -> bytes:
-        """Return the status line of the answer to one request.
-
-        The platform's front doesn't pass on the answer of a server without its stamp,
-        so the status may be 502.
-        """
-        stream = await crowd.connect()
-        await stream.send_all(request)
-        return bytes(await stream.receive_some(4096)).split(b"\r\n")[0]
-
     def test_long_names_of_models(self) -> None:
         """A name of a mebibyte, which no model has."""
         self.play("openai", MODEL_REQUESTS, ask_for_model)
--- a/packages/geraniumhall-bench/tests/test_operators_listeners.py
+++ b/packages/geraniumhall-bench/tests/test_operators_listeners.py
@@ -5,13 +5,11 @@
 and that one ordinary request of a caller and one at that listener are answered.
 """
 
-import os
 import unittest
-from json import dumps
 from typing import Any
 
 import trio
-from crowds import MIB, Sender, build_seed, open_crowd
+from crowds import MIB, CrowdCase, Sender, build_seed, open_crowd
 
 MAX_MEMORY = 160 * MIB
 MAX_DESCRIPTORS = 200
@@ -60,7 +58,7 @@
         await stream.send_all(METRICS * 100)
 
 
-class OperatorsListenerTest(unittest.TestCase):
+class OperatorsListenerTest(CrowdCase):
     """No crowd at these listeners ends a daemon or keeps others out."""
 
     def play(self, send: Sender) -> None:
@@ -86,14 +84,9 @@
                 found["exit"] = crowd.process.process.poll()
 
         trio.run(run)
-        shown = dumps({name: str(value) for name, value in found.items()})
-        if os.environ.get("CROWD_FIGURES"):
-            print(self.id(), listener, shown)
-        self.assertIsNone(found["exit"], shown)
-        self.assertLess(found["peak"], MAX_MEMORY, shown)
-        self.assertLess(found["descriptors"], MAX_DESCRIPTORS, shown)
-        self.assertEqual(found["answer"], b"HTTP/1.1 200 ", shown)
-        self.assertEqual(found["ready"], b"HTTP/1.1 200 ", shown)
+        self.check(found, MAX_MEMORY)
+        self.assertLess(found["descriptors"], MAX_DESCRIPTORS)
+        self.assertEqual(found["ready"], b"HTTP/1.1 200 ")
 
     def test_heads_that_stop_short(self) -> None:
         """Connections with the start of a head yield to a health check."""
--- a/packages/geraniumhall-bench/tests/test_platform_crowds.py
+++ b/packages/geraniumhall-bench/tests/test_platform_crowds.py
@@ -6,13 +6,11 @@
 their bounds, and that one ordinary request is answered afterwards.
 """
 
-import os
 import unittest
-from json import dumps
 from typing import Any
 
 import trio
-from crowds import HEAD, MIB, Crowd, Sender, build_seed, open_crowd
+from crowds import HEAD, MIB, Crowd, CrowdCase, Sender, build_seed, open_crowd
 from test_crowds import BLOCK, build_sender
 
 MAX_MEMORY = 160 * MIB
@@ -71,7 +69,7 @@
     await stream.send_all(REPORT)
 
 
-class PlatformCrowdTest(unittest.TestCase):
+class PlatformCrowdTest(CrowdCase):
     """No crowd ends a daemon that serves the platform's clients."""
 
     def play(self, count: int, send: Sender) -> None:
@@ -90,13 +88,8 @@
                 found["exit"] = crowd.process.process.poll()
 
         trio.run(run)
-        shown = dumps({name: str(value) for name, value in found.items()})
-        if os.environ.get("CROWD_FIGURES"):
-            print(self.id(), shown)
-        self.assertIsNone(found["exit"], shown)
-        self.assertLess(found["peak"], MAX_MEMORY, shown)
-        self.assertLess(found["descriptors"], MAX_DESCRIPTORS, shown)
-        self.assertEqual(found["answer"], b"HTTP/1.1 200 ", shown)
+        self.check(found, MAX_MEMORY)
+        self.assertLess(found["descriptors"], MAX_DESCRIPTORS)
 
     def test_large_chunks_that_stop_short(self) -> None:
         """Bodies in large chunks stop just short of their end and stay open."""
--- a/packages/geraniumhall-bench/tests/test_returned_memory.py
+++ b/packages/geraniumhall-bench/tests/test_returned_memory.py
@@ -5,13 +5,11 @@
 the first one had.
 """
 
-import os
 import unittest
-from json import dumps
 from typing import Any
 
 import trio
-from crowds import MIB, Crowd, Sender, build_seed, open_crowd
+from crowds import MIB, Crowd, CrowdCase, Sender, build_seed, open_crowd
 from test_crowds import BLOCK, CHUNKED, build_sender, send_many_parts
 
 MAX_MEMORY = 160 * MIB
@@ -49,7 +47,7 @@
     return crowd.read_memory("VmRSS")
 
 
-class ReturnedMemoryTest(unittest.TestCase):
+class ReturnedMemoryTest(CrowdCase):
     """What crowds have held is free for others once they have left."""
 
     def test_crowds_of_different_kinds(self) -> None:
@@ -70,13 +68,8 @@
                 found["exit"] = crowd.process.process.poll()
 
         trio.run(run)
-        shown = dumps({**held, **{name: str(value) for name, value in found.items()}})
-        if os.environ.get("CROWD_FIGURES"):
-            print(self.id(), shown)
-        self.assertIsNone(found["exit"], shown)
-        self.assertLess(found["peak"], MAX_MEMORY, shown)
-        self.assertLess(max(held.values()), MAX_HELD_MEMORY, shown)
-        self.assertEqual(found["answer"], b"HTTP/1.1 200 ", shown)
+        self.check({**found, **held}, MAX_MEMORY)
+        self.assertLess(max(held.values()), MAX_HELD_MEMORY)
 
 
 if __name__ == "__main__":
