--- a/packages/geraniumhall-bench/tests/crowds.py
+++ b/packages/geraniumhall-bench/tests/crowds.py
@@ -66,9 +66,10 @@
     """A daemon under test and the connections of its callers.
 
     `address` is that of the callers' listener and `addresses` holds those of all, by
-    name. `server` is the address of the backend server. In bytes, `peak` is the most
-    memory that the process and the kernel's buffers of its connections have held
-    together, and `peak_buffered` the most that these buffers have.
+    name. `server` is the address of the backend server, `store` that of the stand-in
+    for the store, if there is one. In bytes, `peak` is the most memory that the process
+    and the kernel's buffers of its connections have held together, and `peak_buffered`
+    the most that these buffers have.
     """
 
     process: ManagedProcess
@@ -76,6 +77,7 @@
     nursery: trio.Nursery
     addresses: dict[str, tuple[str, int]] = attrs.field(factory=dict)
     server: tuple[str, int] = ("", 0)
+    store: str = ""
     streams: list[trio.SocketStream] = attrs.field(factory=list)
     peak: int = 0
     peak_buffered: int = 0
@@ -226,6 +228,7 @@
         group = ProcessGroup(nursery)
         try:
             settings = build_settings(f"{host}:{port}")
+            store = ""
             if has_store:
                 store = await group.start_stand_in("platform", "store")
                 settings["platform"] = {"driver": "objects", "address": store}
@@ -237,6 +240,7 @@
                 nursery,
                 addresses,
                 (host, port),
+                store,
             )
             yield crowd
             await crowd.leave()
