--- a/review/kit2/platform.py
+++ b/review/kit2/platform.py
@@ -151,6 +151,9 @@
         self.highest = {}
         self.usage = {}  # window -> set of reported counts, as text
         self.calls = []
+        self.ordered_at = (
+            None  # the latest order that was answered, on the loop's clock
+        )
         self.down_until = 0.0  # on the loop's clock; calls get no answer until then
         self.silent = asyncio.Event()  # set by an order that gets no answer
         self.server = None
@@ -184,6 +187,7 @@
         holder = http.find(headers, "x-duty-holder", "")
         subject = target
         if target == "/scale":
+            self.ordered_at = asyncio.get_running_loop().time()
             subject = f"{target} {data['service']} {data['zone']}"
         self.calls.append((holder, token, subject, data))
         if token < self.highest.get(subject, 0):
