--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,178 +1,167 @@
-"""A part that crashes replicas, in prompts of many parts."""
+"""A service is dropped from the configuration while an order for it is open."""
 
 import asyncio
-import os
 import random
-from collections import Counter
+from copy import deepcopy
 from pathlib import Path
 
 from kit2 import fleet, http
-from kit2.fleet import BOUNDS
 from kit2.replica import Replica
 
-PARTS = int(os.environ.get("PARTS", "40"))  # of a prompt, its own last part included
-SESSIONS = 40  # whose requests share their parts
-REPLICAS = 12
-BACK_SECONDS = 3.0  # a crashed replica is back after some seconds
-POISON_SECONDS = 20.0
-POISON_GAP = 0.95  # a share of 0.03 of the requests
-SOUND_GAP = 0.028
-EVENTS = 5
+CONNECTIONS = 12  # kept ones to each daemon, with a request on each
+WORK_SECONDS = 2.5
+DOWN_SECONDS = 4.0  # of the platform's API
+CHANGE_AFTER = 0.3  # the version comes so long after an order has been sent
 DEADLINE_MS = 8000
-CRASHES = 5  # from the fifth on the rule counts
-MOST_LATER = 3
-POISON = "deadbeef"
+MOST = 3
 HOST = "ficu95.example"
 KEY = "i9n73hh2b9wu3fexd9dn"
+ZONES = ["riga-a", "riga-b", "riga-c"]
+
+
+def build_models(name):
+    """Return a service of model replicas that may be ordered."""
+    return {
+        "name": name, "health_path": "/health", "max_conns": 370, "protocol": "h1",
+        "tls": False,
+        "engine": {"slots": 64, "kv_capacity": 591094, "kv_token_bytes": 18432,
+                   "link_mbps": 140000.0, "handle_ttl_s": 5.0, "switch_s": 3.0,
+                   "models": [{"name": "m"}]},
+        "scale": {"min": 1, "max": 4, "boot_s": 4.0, "spot_price": 0.15,
+                  "zone_prices": {zone: 1.0 for zone in ZONES}},
+    }  # fmt: skip
+
+
+def build_route(name, path, kind, service):
+    """Return a route to one service."""
+    return {
+        "name": name, "host": HOST, "path_prefix": path, "kind": kind,
+        "timeout_ms": DEADLINE_MS, "latency_target_ms": 600, "gap_target_ms": 200,
+        "priority": 2, "service": service, "max_attempts": 1, "anonymous": False,
+        "sticky": kind == "streaming", "resumable": False,
+    }  # fmt: skip
+
+
 CONFIGURATION = {
     "version": 7,
     "routes": [
-        {
-            "name": "r-chat", "host": HOST, "path_prefix": "/chat/",
-            "kind": "streaming", "timeout_ms": DEADLINE_MS,
-            "latency_target_ms": 600, "gap_target_ms": 200, "priority": 2,
-            "service": "assistant", "max_attempts": 1, "anonymous": False,
-            "sticky": True, "resumable": False,
-        },
+        build_route("r-submit", "/submit/", "non_idempotent", "filing"),
+        build_route("r-notes", "/notes/", "streaming", "former"),
     ],
     "services": [
-        {
-            "name": "assistant", "health_path": "/health", "max_conns": 360,
-            "protocol": "h1", "tls": False,
-            "engine": {
-                "slots": 64, "kv_capacity": 601427, "kv_token_bytes": 18432,
-                "link_mbps": 140000.0, "handle_ttl_s": 5.0, "switch_s": 3.0,
-                "models": [{"name": "m"}],
-            },
-        },
+        {"name": "filing", "health_path": "/health", "max_conns": 110,
+         "protocol": "h1", "tls": False},
+        build_models("drafting"),
+        build_models("former"),
     ],
     "limits": fleet.LIMITS,
     "tenants": [
-        {
-            "name": "hule930", "api_keys": [KEY], "priority": 1,
-            "unit": "token_stream", "plain_tokens": 200,
-            "rate_per_s": 5000000, "burst": 5000000,
-        },
+        {"name": "hule930", "api_keys": [KEY], "priority": 1,
+         "unit": "token_stream", "plain_tokens": 1,
+         "rate_per_s": 100000, "burst": 100000},
     ],
 }  # fmt: skip
 
 
-class Crashes:
-    """The crashes of replicas, and the requests that reached replicas."""
-
-    def __init__(self, record, has_trouble):
-        self.record, self.has_trouble = record, has_trouble
-        self.times = []
-        self.arrivals = []
-
-    def is_deadly(self, headers):
-        """Return whether the prompt has the part that crashes replicas."""
-        return POISON in http.find(headers, "x-prompt-prefix", "")
-
-    async def run(self, replica, request, writer):
-        """Read the prompt, then stream some events; crash before the first one."""
-        _, _, headers, _ = request
-        request_id = http.find(headers, "x-request-id")
-        deadly = self.is_deadly(headers)
-        if deadly:
-            self.arrivals.append((self.record.now(), request_id))
-            self.record.write(f"{request_id} (the part) runs at {replica.name}")
-        await asyncio.sleep(0.05)
-        if deadly and self.has_trouble:
-            self.times.append(self.record.now())
-            self.record.write(f"{replica.name} crashes, crash {len(self.times)}")
-            asyncio.get_running_loop().create_task(self.restart(replica))
-            await asyncio.sleep(10)
-            return False
-        writer.write(http.build_head("HTTP/1.1 200 OK", [
-            ("Content-Type", "text/event-stream"), ("X-Request-Id", request_id),
-            ("X-Server-Stamp", f"{replica.name}.{request_id}"),
-            ("Transfer-Encoding", "chunked"),
-        ]))  # fmt: skip
-        for number in range(1, EVENTS + 1):
-            event = f"id: {number}\ndata: t{number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(0.08)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
-
-    async def restart(self, replica):
-        """Crash a replica and start it again, as another incarnation."""
-        replica.crash()
-        await asyncio.sleep(BACK_SECONDS)
-        await self.store.remove("servers", replica.name)
-        replica.name = f"i-{random.getrandbits(40):010x}"
-        await replica.start()
-
-
-def build_prompt(number, first):
-    """Return the parts: the first one, those of the session, the request's own."""
-    session = number % SESSIONS
-    names = [first, *(f"5e{session:02x}{n:04x}" for n in range(PARTS - 2))]
-    return ",".join([*(f"{name}:40" for name in names), f"{number:08x}:60"])
-
-
-async def send(group, number, first, counts):
-    """Send one request to some daemon and record its answer."""
-    daemon = group.daemons[number % len(group.daemons)]
-    request_id = f"{random.getrandbits(64):016x}"
-    prompt = build_prompt(number, first)
+async def run(replica, request, writer):
+    """Work on a request, shortly or long, and answer it."""
+    request_id = http.find(request[2], "x-request-id")
+    replica.store.record.write(f"{request_id} runs at {replica.name}")
+    await asyncio.sleep(WORK_SECONDS if request[1].endswith("long") else 0.02)
     headers = [
-        ("Host", HOST), ("X-Request-Id", request_id), ("X-Model", "m"),
-        ("X-Token-Counts", f"{40 * (PARTS - 1) + 60},40"),
-        ("X-Prompt-Prefix", prompt), ("X-Deadline-Ms", str(DEADLINE_MS)),
-        ("Authorization", f"Bearer {KEY}"),
-    ]  # fmt: skip
-    kind = "the part" if first == POISON else "sound"
-    group.record.write(f"{request_id} ({kind}) sent to {daemon.name}")
-    answer = await http.call(daemon.front, "POST", "/chat/2f", headers, b"{}")
-    group.record.write(f"{request_id} ({kind}) answered: {answer}")
-    counts[kind, answer.status, answer.whole] += 1
+        ("X-Request-Id", request_id),
+        ("X-Server-Stamp", f"{replica.name}.{request_id}"),
+    ]
+    writer.write(http.build_response(200, headers, b"{}"))
+    await writer.drain()
+    return True
+
+
+async def serve_on_kept(group, daemon, results):
+    """Send a short request, then a long one on the kept connection."""
+    host, port = daemon.front.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for kind in ("short", "long"):
+        request_id = f"{random.getrandbits(64):016x}"
+        headers = [
+            ("Host", HOST), ("X-Request-Id", request_id),
+            ("X-Deadline-Ms", str(DEADLINE_MS)),
+            ("Authorization", f"Bearer {KEY}"), ("Content-Length", "2"),
+        ]  # fmt: skip
+        group.record.write(f"{request_id} ({kind}) sent to {daemon.name}")
+        start = f"POST /submit/{kind} HTTP/1.1"
+        end = "closed without an answer"
+        try:
+            writer.write(http.build_head(start, headers) + b"{}")
+            head = await http.read_head(reader)
+            if head is not None:
+                body = await http.read_body(reader, head[1])
+                end = f"{head[0]}, whole, {len(body)} bytes"
+        except (http.BrokenMessage, OSError):
+            pass
+        group.record.write(f"{request_id} ({kind}): {end}")
+        results.append((daemon, kind, end))
+    writer.close()
 
 
 async def play(group, has_trouble):
-    """Send sound requests and, among them, requests with the part."""
-    crashes = Crashes(group.record, has_trouble)
-    crashes.store = group.store
+    """Drop a service while the API is down and an order for it has no answer."""
+    group.store.record = group.record
     group.replicas = [
-        Replica(group.store, f"i-{random.getrandbits(40):010x}", "assistant",
-                crashes.run, "kgn-a", 1.2, phase="decode")
-        for _ in range(REPLICAS)
+        Replica(group.store, f"i-{random.getrandbits(40):010x}", service, run, zone,
+                1.2, phase=None if service == "filing" else "decode")
+        for service in ("filing", "drafting", "former")
+        for zone in ZONES
     ]  # fmt: skip
-    await group.start(CONFIGURATION, ["kgn-a", "kgn-b", "kgn-c"])
-    await asyncio.sleep(6.0)
-    counts = Counter()
-    tasks = []
-    began, number, next_poison = group.record.now(), 0, group.record.now() + 3.0
-    while group.record.now() < began + 3.0 + POISON_SECONDS:
-        number += 1
-        tasks.append(asyncio.create_task(send(group, number, "5a5a0001", counts)))
-        if group.record.now() >= next_poison:
-            next_poison += POISON_GAP
-            number += 1
-            tasks.append(asyncio.create_task(send(group, number, POISON, counts)))
-        await asyncio.sleep(SOUND_GAP)
+    await group.start(CONFIGURATION, ["riga-a", "riga-b"])
+    await asyncio.sleep(8.0)
+    moved = deepcopy(CONFIGURATION)
+    moved["version"] = 9
+    moved["routes"][1]["service"] = "drafting"
+    await group.store.put("config", "main", moved)
+    group.record.write("version 9 moves r-notes to drafting: acknowledged")
+    # Orders that are not met are repeated some seconds later.
+    loop = asyncio.get_running_loop()
+    while group.cloud.ordered_at is None or (
+        not 3.0 < loop.time() - group.cloud.ordered_at < 5.0
+    ):
+        await asyncio.sleep(0.1)
+    if has_trouble:
+        group.cloud.down_until = loop.time() + DOWN_SECONDS
+        group.record.write("the platform's API is down (silent)")
+    if has_trouble:
+        try:
+            await asyncio.wait_for(group.cloud.silent.wait(), DOWN_SECONDS)
+        except TimeoutError as error:
+            raise fleet.CannotRun("no order was sent meanwhile") from error
+        group.record.write("an order of replicas gets no answer")
+    results = []
+    tasks = [
+        asyncio.create_task(serve_on_kept(group, daemon, results))
+        for daemon in group.daemons
+        for _ in range(CONNECTIONS)
+    ]
+    await asyncio.sleep(CHANGE_AFTER)
+    dropped = deepcopy(moved)
+    dropped["version"] = 10
+    dropped["services"] = [s for s in moved["services"] if s["name"] != "former"]
+    await group.store.put("config", "main", dropped)
+    group.record.write("version 10 without the service former: acknowledged")
     await asyncio.gather(*tasks)
-    for (kind, status, whole), count in sorted(counts.items()):
-        group.record.write(f"{count} x {kind}: {status}, whole {whole}")
-    held = [
-        line for daemon in group.daemons for line in daemon.read_log()
-        if line.get("event") == "part_held"
-    ]  # fmt: skip
-    group.record.write(f"{len(crashes.times)} crashes; {len(held)} holds were logged")
-    if len(crashes.times) < CRASHES:
-        return ""
-    from_time = crashes.times[CRASHES - 1] + BOUNDS["contact_ms"] / 1000
-    later = [name for at, name in crashes.arrivals if at > from_time]
-    group.record.write(
-        f"{len(later)} requests with the part reached replicas later than contact_ms"
-        f" after crash {CRASHES}; at most {MOST_LATER} may"
-    )
-    if len(later) > MOST_LATER:
-        return f"BUDGET: {len(later)} requests with the part reached replicas"
-    return ""
+    await asyncio.sleep(1.0)
+    reasons = []
+    for daemon in group.daemons:
+        ends = [e for d, kind, e in results if d is daemon and kind == "long"]
+        cut = sum("whole" not in end for end in ends)
+        code = daemon.process.returncode
+        state = "it runs" if code is None else f"it has ended by itself, code {code}"
+        group.record.write(
+            f"{daemon.name}: {cut} of {len(ends)} requests that had been passed on"
+            f" were closed without an answer; {state}"
+        )
+        if cut > MOST:
+            reasons.append(f"LOST: {cut} requests at {daemon.name}, {state}")
+    return "; ".join(reasons)
 
 
 if __name__ == "__main__":
