Look up a service that may be gone when its order is answered

Cause: the log line of an answered scale request names the servers that the service needs. _share_need indexed the catalogue by the service's name, and a newer version may have dropped it while the request was open: KeyError, which ends the process.

Fix: find_service, which has a default for services that aren't configured. A version that leaves a service without prices divided by zero in the same function; the need is None then.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/scaling.py
@@ -126,11 +126,13 @@
 def _share_need(state: DaemonState, service: str) -> int | None:
     """Return the servers that a service needs in each failure domain.
 
-    The need is spread evenly, so that a domain that is lost takes its share only.
+    The need is spread evenly, so that a domain that is lost takes its share only. It is
+    None for a service whose demand isn't known, or that a newer configuration dropped
+    or scales nowhere.
     """
-    scale = state.catalogue.services[service].scale
+    scale = state.catalogue.find_service(service).scale
     demand = state.service_demands.get(service)
-    if scale is None or demand is None:
+    if scale is None or not scale.prices or demand is None:
         return None
     return ceil(demand.needed / len(scale.prices))
 
--- a/packages/geraniumhall-core/tests/test_scaling.py
+++ b/packages/geraniumhall-core/tests/test_scaling.py
@@ -11,7 +11,7 @@
     ScaleBounds,
     Service,
 )
-from geraniumhall_core.effects import CallPlatform
+from geraniumhall_core.effects import CallPlatform, WriteLog
 from geraniumhall_core.events import DrainRequested, Ticked
 from geraniumhall_core.leases import Lease
 from geraniumhall_core.platform import (
@@ -362,6 +362,41 @@
         self.assertEqual(tick(state, 3.0), [])
         self.assertEqual(len(tick(state, 4.5)), 2)
 
+    def test_answer_for_a_dropped_service_is_recorded(self) -> None:
+        """Guards against a process that ends on the answer for a service that is gone.
+
+        A version dropped it while the request was open.
+        """
+        for answer in (DutyAccepted(), DutyRejected("none available")):
+            with self.subTest(answer=answer):
+                self.assertEqual(self.answer_after({}, answer), ["servers_ordered"] * 2)
+
+    def test_answer_for_a_service_that_scales_nowhere_is_recorded(self) -> None:
+        """Guards against a division by the number of domains, of which none are left.
+
+        A version dropped the prices of all domains while the request was open.
+        """
+        services = {"llm": Service(scale=attrs.evolve(BOUNDS, prices={}))}
+        logged = self.answer_after(services, DutyAccepted())
+        self.assertEqual(logged, ["servers_ordered"] * 2)
+
+    def answer_after(self, services: dict[str, Service], answer: object) -> list[str]:
+        """Replace the services while requests are open; return what is logged then."""
+        state = self.build()
+        calls = tick(state, 2.1)
+        revision = Revision(number=150)
+        configuration = Configuration(version=2, services=services)
+        key = ObjectKey("configuration", "main")
+        change = VersionedRecord(key, revision, configuration)
+        purpose = FollowFeed(Feed.CONFIGURATION)
+        reduce(state, build_answer(purpose, Changes(revision, (change,))))
+        effects = [
+            effect
+            for call in calls
+            for effect in reduce(state, build_answer(call.purpose, answer, at=2.2))
+        ]
+        return [effect.event for effect in effects if isinstance(effect, WriteLog)]
+
     def test_fenced_holder_sends_no_more_scale_requests(self) -> None:
         """A fenced holder steps down, since another host has a higher term."""
         state = self.answer(DutyFenced())
