Count a crash that follows others although a part has many already

A part keeps 16 crashes. Of crashes in one moment only one counts, but 16 of them, such as after the loss of many engines, left no room: each later crash under the part was dropped, so that it could not be held (BUDGET) until its evidence was forgotten after a minute.

A crash that follows another takes the place of one that doesn't, of which one stays. The new test failed before: a second crash wasn't counted after 16.

--- a/packages/geraniumhall-core/src/geraniumhall_core/parts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/parts.py
@@ -184,12 +184,21 @@
     next_write_at: float = float("-inf")
 
     def add_crash(self, crash: PartCrash, now: float) -> bool:
-        """Add a crash; return whether it was new."""
+        """Add a crash; return whether it was new.
+
+        Of too many, one that follows another takes the place of one that doesn't, since
+        only the first of those counts.
+        """
         known = self.crashes.get(crash.crash_id)
-        if crash.crash_id in self.refuted or len(self.crashes) >= MAX_CRASHES:
+        if crash.crash_id in self.refuted:
             return False
         if known is not None and (known.follows or not crash.follows):
             return False
+        if known is None and len(self.crashes) >= MAX_CRASHES:
+            replaced = self._find_replaceable() if crash.follows else None
+            if replaced is None:
+                return False
+            del self.crashes[replaced]
         if not self.crashes:
             self.suspected_at = now
         self.crashes[crash.crash_id] = crash
@@ -296,6 +305,11 @@
             return None
         return PartRecord(crashes=tuple(self.crashes.values()), hold=self.hold)
 
+    def _find_replaceable(self) -> CrashId | None:
+        """Return the latest crash that doesn't follow another, if there are several."""
+        unordered = [key for key, crash in self.crashes.items() if not crash.follows]
+        return unordered[-1] if len(unordered) > 1 else None
+
     def build_report(self, host: str, part: str) -> PartReport:
         """Return what is to be told to other hosts."""
         return PartReport(
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -38,6 +38,7 @@
 from geraniumhall_core.holding import Suspicion, choose_repeated_crash, hold_nothing
 from geraniumhall_core.hosts import HostRecord
 from geraniumhall_core.parts import (
+    MAX_CRASHES,
     CrashId,
     CrashReport,
     PartCrash,
@@ -394,6 +395,16 @@
             tick(state, 3.2 + number)
         self.assertTrue(state.quarantine.is_held(PART))
 
+    def test_crash_that_follows_takes_the_place_of_one_of_the_same_moment(self):
+        """Guards against a culprit that is never held after a loss of many engines."""
+        known = PartState()
+        for number in range(MAX_CRASHES):
+            known.add_crash(build_crash(f"e{number}"), 1.0)
+        self.assertEqual(known.count_crashes(set()), 1)
+        self.assertTrue(known.add_crash(build_crash("next", follows=True), 2.0))
+        self.assertEqual(known.count_crashes(set()), 2)
+        self.assertEqual(len(known.crashes), MAX_CRASHES)
+
     def test_crash_under_thousands_of_parts_takes_few_calls(self):
         """Guards against a flood of datagrams and writes for each crash."""
         state = build_state(policy={"peer_address": "10.0.0.1:7000"})
