Bound a request's attempts by its entry on admission too

Cause: the bound was looked up when an attempt had ended. Of an entry that a newer version had removed nothing was found, so the default of 3 applied; a newer version could raise it as well.

Fix: the bound is kept with the request on admission; the lower one of it and the entry's now applies. Two new tests of test_attempts failed before (a removed entry; bounds 1 then none, 1 then 3).

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/admission.py
@@ -150,6 +150,7 @@
         entry=name,
         workspace=workspace,
         repeatable=entry.repeatable,
+        max_attempts=entry.max_attempts,
         arrived_at=event.at - event.age,
         deadline=event.at - event.age + _choose_timeout(entry, request),
         cost=compute_cost(limits, request),
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/retries.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/retries.py
@@ -49,7 +49,12 @@
 
 
 def _has_attempts_left(state: DaemonState, record: RequestRecord, planned: int) -> bool:
-    """Return whether one more attempt may run after `planned` further ones."""
+    """Return whether one more attempt may run after `planned` further ones.
+
+    The bound is the entry's on admission or now, whichever is lower: a newer version
+    may have raised or removed it.
+    """
     entry = state.catalogue.entries.get(record.entry)
-    allowed = entry.max_attempts if entry else None
+    bounds = (record.max_attempts, entry.max_attempts if entry else None)
+    allowed = min((bound for bound in bounds if bound), default=None)
     return record.runs + planned < (allowed or state.policy.max_attempts)
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -138,7 +138,8 @@
 
     `deadline` is the latest time for the complete response, in seconds on the host's
     clock. `cost` is what the request takes from the workspace's rate. `runs` counts the
-    attempts that may have run and `unsent` those that reached no server.
+    attempts that may have run, of which the entry allowed `max_attempts` on admission,
+    None for the default, and `unsent` those that reached no server.
     `prefill_tokens` are prompt tokens whose prefill is pending on the current server,
     as far as this host knows. `kv_cache` refers to the prompt's KV cache between
     prefill and decode. `sent_at` is when the current attempt was sent and `began_at`
@@ -163,6 +164,7 @@
     service: str = ""
     priority: int = 0
     phase: Phase = Phase.QUEUED
+    max_attempts: int | None = None
     attempts: int = 0
     runs: int = 0
     unsent: int = 0
--- a/packages/geraniumhall-core/tests/test_attempts.py
+++ b/packages/geraniumhall-core/tests/test_attempts.py
@@ -23,7 +23,8 @@
 )
 from geraniumhall_core.events import ResponseStarted
 from geraniumhall_core.handlers.retries import MAX_UNSENT, may_retry
-from geraniumhall_core.platform import Feed
+from geraniumhall_core.platform import Changes, Feed
+from geraniumhall_core.records import DELETED, ObjectKey, VersionedRecord
 from geraniumhall_core.requests import (
     AttemptOutcome,
     CallerRequest,
@@ -31,6 +32,7 @@
     PathTarget,
     RequestRecord,
 )
+from geraniumhall_core.revisions import Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.usage import UsageFigures
 from geraniumhall_core.verdict import Verdict
@@ -176,6 +178,49 @@
         failed = AttemptOutcome.CONNECT_FAILED
         self.assertFalse(may_retry(state, record, failed, 2.0))
 
+    def build_limited(self, max_attempts: int | None) -> DaemonState:
+        """Return a state whose repeatable entry allows so many attempts."""
+        state = build_state()
+        self.change_entry(state, max_attempts, 200)
+        return state
+
+    def change_entry(self, state: DaemonState, number: int | None, at: int) -> None:
+        """Change the attempts of the entry at a revision of the store."""
+        key = ObjectKey("entry", "draft")
+        entry = attrs.evolve(state.catalogue.entries["draft"], max_attempts=number)
+        self.change(state, VersionedRecord(key, Revision(number=at), entry))
+
+    def change(self, state: DaemonState, change: VersionedRecord) -> None:
+        """Apply one change of the records."""
+        apply_feed_answer(state, Feed.RECORDS, Changes(change.version, (change,)))
+
+    def break_attempt(self, state: DaemonState, sent: RelayRequest) -> list:
+        """Let an answer be lost and return the attempts that follow."""
+        effects = reduce(state, build_attempt_end(sent, AttemptOutcome.BROKEN))
+        return [effect for effect in effects if isinstance(effect, RelayRequest)]
+
+    def test_attempts_of_a_removed_entry_stay_bounded(self) -> None:
+        """Guards against a request that runs twice: its route, with one, is removed."""
+        state = self.build_limited(1)
+        sent = find_effect(reduce(state, build_arrival()), RelayRequest)
+        key = ObjectKey("entry", "draft")
+        self.change(state, VersionedRecord(key, Revision(number=201), DELETED))
+        self.assertEqual(self.break_attempt(state, sent), [])
+
+    def test_newer_version_raises_no_bound_of_attempts(self) -> None:
+        """Of the versions that a request has met, the lowest bound applies."""
+        for before, after, repeats in (
+            (1, None, 0),
+            (1, 3, 0),
+            (None, 1, 0),
+            (2, 3, 1),
+        ):
+            with self.subTest(before=before, after=after):
+                state = self.build_limited(before)
+                sent = find_effect(reduce(state, build_arrival()), RelayRequest)
+                self.change_entry(state, after, 201)
+                self.assertEqual(len(self.break_attempt(state, sent)), repeats)
+
     def test_event_of_an_old_attempt_is_ignored(self) -> None:
         """The late end of an earlier attempt has no effect."""
         state = build_state()
