Keep what a server states while its entry has lapsed

A server was cut off from the store and its entry lapsed; it turned requests away with Retry-After, and was listed again as the same process.

Cause: record_notice dropped what a server says of itself unless it is listed when the answer comes back; Server-Leaving and limits too.

Fix: a notice of an unlisted process is kept under its name and start, which is how restrictions are kept anyway, so a new process of the name isn't bound. One of an earlier process than the listed one is still ignored. The new test of test_restrictions failed before, for both words.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/notices.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/notices.py
@@ -19,13 +19,14 @@
 ) -> Iterator[Effect]:
     """Adopt what an answer says of its server, and tell other hosts what is new.
 
-    A notice of an earlier process of the server is ignored.
+    A notice of an earlier process of the server is ignored. That of one that isn't
+    listed counts: its entry may have lapsed while it runs, and come back.
     """
     if received is None:
         return
     source = received.source
     server = state.catalogue.servers.get(source.server)
-    if server is None or server.started_at != source.started_at:
+    if server is not None and server.started_at != source.started_at:
         return
     for reason in received.notice.invalid:
         yield from _report_invalid(state, source, reason)
--- a/packages/geraniumhall-core/tests/test_restrictions.py
+++ b/packages/geraniumhall-core/tests/test_restrictions.py
@@ -184,6 +184,39 @@
         receive(self.state, "e2", at=2.0, sent_at=1.9, request_limit=1, started_at=7)
         self.assertIsNone(find_rate(self.state, "e2"))
 
+    def list_server(self, state: DaemonState, at: int, record: Any) -> None:
+        """Let server e1 be listed with a record, or not be listed."""
+        change = VersionedRecord(ObjectKey("server", "e1"), Revision(number=at), record)
+        changes = Changes(Revision(number=at), (change,))
+        apply_feed_answer(state, Feed.RECORDS, changes)
+
+    def test_notice_of_a_server_whose_entry_has_lapsed_counts(self) -> None:
+        """Guards against requests in the time for which a server wants none.
+
+        It answered while its entry was gone, and is listed again as the same process.
+        """
+        cases: tuple = (({"retry_after": 15.0}, 14.0), ({"is_leaving": True}, 30.0))
+        for words, seconds in cases:
+            with self.subTest(words=words):
+                state = build_state()
+                server = state.catalogue.servers["e1"]
+                self.list_server(state, 200, DELETED)
+                receive(state, "e1", NOW, NOW, **words)
+                self.list_server(state, 201, server)
+                self.assertFalse(is_open(state, "e1", NOW + seconds))
+                tick = Ticked(at=NOW + 2.0, wall_time=NOW, draws=DRAWS)
+                reduce(state, tick)
+                self.assertFalse(is_open(state, "e1", NOW + seconds))
+
+    def test_notice_before_a_lapse_does_not_bind_the_next_process(self) -> None:
+        """It has said nothing itself."""
+        state = build_state()
+        server = state.catalogue.servers["e1"]
+        self.list_server(state, 200, DELETED)
+        receive(state, "e1", NOW, NOW, retry_after=15.0)
+        self.list_server(state, 201, attrs.evolve(server, started_at=7))
+        self.assertTrue(is_open(state, "e1", NOW))
+
     def test_new_process_begins_without_a_limit(self) -> None:
         """The limit ends with the process that named it."""
         replace_server(self.state, "e1", started_at=9)
