Attribute a crash to the process that the request was sent to

If a break is noticed only once the engine is listed as a new process, the crash was looked up as that process's, which listens, so it wasn't counted and a part that crashes engines could be held late. The process is kept with the attempt now. The new test of test_quarantine failed before.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/quarantine.py
@@ -31,7 +31,8 @@
     """Probe the server under a request that broke off as it was about to write.
 
     Only a server that has ended counts against the request's parts, and only if its
-    end was not announced. Without shared parts there is nothing to suspect.
+    end was not announced. It counts as the process that the request was sent to, also
+    if another one is listed by now. Without shared parts there is nothing to suspect.
     """
     parts = list_shared_parts(record.request)
     has_written = (
@@ -42,7 +43,7 @@
         return
     if is_leaving(state, record.server):
         return
-    crash_id = CrashId(record.server, server.started_at)
+    crash_id = CrashId(record.server, record.server_started_at)
     record.is_probing = True
     request_id = record.request.request_id
     broken = BrokenRequest(request_id, parts, record.sent_at)
@@ -51,7 +52,7 @@
         yield ProbeServer(
             server=record.server,
             address=server.address,
-            incarnation=server.started_at,
+            incarnation=crash_id.incarnation,
             delay=PROBE_DELAY_SECONDS,
         )
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/server_use.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/server_use.py
@@ -19,6 +19,7 @@
     take_request(state, placement.server, now)
     record.attempts += 1
     record.server = placement.server
+    record.server_started_at = state.catalogue.servers[placement.server].started_at
     record.prefill_tokens = placement.prefill_tokens
     record.pending_prefill = placement.pending_prefill
     record.prefill_percent = 0
--- a/packages/geraniumhall-core/src/geraniumhall_core/requests.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/requests.py
@@ -139,17 +139,18 @@
     `deadline` is the latest time for the complete response, in seconds on the host's
     clock. `cost` is what the request takes from the workspace's rate. `runs` counts the
     attempts that may have run, of which the entry allowed `max_attempts` on admission,
-    None for the default, and `unsent` those that reached no server.
-    `prefill_tokens` are prompt tokens whose prefill is pending on the current server,
-    as far as this host knows. `kv_cache` refers to the prompt's KV cache between
-    prefill and decode. `sent_at` is when the current attempt was sent and `began_at`
-    when its answer began, in seconds on the host's clock. `attempted_at` is when the
-    current attempt or prefill was sent; `pending_prefill` are the tokens that its
-    server had to prefill by then, this prompt included, and `prefill_percent` is the
-    rate that it showed, in percent of the configured one, zero if not measured. A
-    request that tries a held part has its name as `trial_part`. One that `has_asked`
-    other hosts for a token does not ask again. It was placed at `placed_at`, and its
-    first event planned `planned` seconds later, before the service's pace is applied.
+    None for the default, and `unsent` those that reached no server. `server` is the
+    current one, and `server_started_at` its process. `prefill_tokens` are prompt tokens
+    whose prefill is pending there, as far as this host knows. `kv_cache` refers to the
+    prompt's KV cache between prefill and decode. `sent_at` is when the current attempt
+    was sent and `began_at` when its answer began, in seconds on the host's clock.
+    `attempted_at` is when the current attempt or prefill was sent; `pending_prefill`
+    are the tokens that its server had to prefill by then, this prompt included, and
+    `prefill_percent` is the rate that it showed, in percent of the configured one, zero
+    if not measured. A request that tries a held part has its name as `trial_part`. One
+    that `has_asked` other hosts for a token does not ask again. It was placed at
+    `placed_at`, and its first event planned `planned` seconds later, before the
+    service's pace is applied.
     `rank` is its urgency among the requests of its service, and `is_repeat` tells that
     its caller has tried before.
     """
@@ -169,6 +170,7 @@
     runs: int = 0
     unsent: int = 0
     server: str = ""
+    server_started_at: int = 0
     prefill_tokens: int = 0
     tried_servers: set[str] = attrs.field(factory=set)
     verdict: Verdict = Verdict.NOT_RUN
--- a/packages/geraniumhall-core/tests/test_quarantine.py
+++ b/packages/geraniumhall-core/tests/test_quarantine.py
@@ -198,6 +198,21 @@
         reduce(state, build_probe(probe, at=3.12, is_refused=False))
         self.assertNotIn(PART, state.quarantine.parts)
 
+    def test_crash_that_is_seen_after_the_restart_counts(self):
+        """Guards against a crash that is taken for one of the process that followed."""
+        state = build_state()
+        sent = find_effect(start_request(state, "r1", 3.0), RelayRequest)
+        server = attrs.evolve(state.catalogue.servers[sent.server], started_at=9)
+        key = ObjectKey("server", sent.server)
+        change = VersionedRecord(key, Revision(number=200), server)
+        changes = Changes(Revision(number=200), (change,))
+        apply_feed_answer(state, Feed.RECORDS, changes, at=3.05)
+        end = build_attempt_end(sent, AttemptOutcome.BROKEN, at=3.1)
+        probe = find_effect(reduce(state, end), ProbeServer)
+        reduce(state, build_probe(probe, at=3.12, is_refused=False))
+        crashes = state.quarantine.parts[PART].crashes
+        self.assertEqual(list(crashes), [CrashId(sent.server, sent.started_at)])
+
     def test_announced_end_counts_nothing(self):
         """A server that was leaving, or is not listed any more, is not probed."""
         state = build_state()
