Bound the time that answers in tiny chunks take from others

Cause: the client parsed all chunks of a read before other tasks ran, some 5,400 in 32 KiB, and an answer that isn't a stream is read on up to 1 MiB before any of it is passed on. Nothing bounded the sum over all answers.

Fix: of one read 64 chunks are parsed, then others run; reads with more share upstream.max_chunk_rate (10,000 a second). It holds for each exchange of the client: relays, prefills, orders, the store and the duties.

Two of the three new unit tests need the pace, which is new.

Ruled out: refusing such answers.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -139,6 +139,10 @@
             idle_timeout=settings.upstream.idle_timeout,
             max_idle=settings.upstream.max_idle,
             is_short=lambda: budget.is_short,
+            pace=ParsingPace(
+                settings.upstream.max_chunk_rate,
+                on_wait=lambda: limit_log.record_limit("answer_paced"),
+            ),
         )
         return cls(
             settings=settings,
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -16,6 +16,7 @@
 import h11
 import trio
 
+from geraniumhall_net.budget import ParsingPace
 from geraniumhall_net.kernel_buffers import (
     SERVER_RECEIVE_BYTES,
     SERVER_SEND_BYTES,
@@ -27,6 +28,7 @@
 from geraniumhall_wire.settings import split_address
 
 RECEIVE_BYTES = 65536  # at most, in one read
+PACED_CHUNKS = 64  # of one read, parsed without letting other tasks run
 MAX_FETCHED_BYTES = 16 * 2**20  # of a body that is read as a whole
 MAX_INFORMATIONAL_HEADS = 16  # before the final response
 MAX_STATUS = 599  # the parser takes any three digits
@@ -89,7 +91,8 @@
 
     `idle_since` is on trio's clock. `refused` holds the names of the exchanges that
     the server refused on it: a copy of such a refusal may still arrive, so an exchange
-    of the same name takes another connection.
+    of the same name takes another connection. Answers in tiny chunks are parsed at the
+    `pace` that all connections share.
     """
 
     _stream: trio.abc.Stream
@@ -98,13 +101,18 @@
     idle_since: float = 0.0
     server_idle_timeout: float = float("inf")
     refused: set[str] = attrs.field(factory=set)
+    pace: ParsingPace = attrs.field(factory=ParsingPace)
+    _parsed_chunks: int = attrs.field(default=0, init=False)  # of the latest read
     _is_body_complete: bool = attrs.field(default=False, init=False)
     _needs_data: bool = attrs.field(default=True, init=False)
 
     @classmethod
-    def from_stream(cls, stream: trio.abc.Stream, address: str) -> "ClientConnection":
+    def from_stream(
+        cls, stream: trio.abc.Stream, address: str, pace: ParsingPace | None = None
+    ) -> "ClientConnection":
         """Return a connection over a newly opened stream."""
-        return cls(stream, address.encode(), h11.Connection(h11.CLIENT))
+        http = h11.Connection(h11.CLIENT)
+        return cls(stream, address.encode(), http, pace=pace or ParsingPace())
 
     @property
     def has_no_input(self) -> bool:
@@ -165,13 +173,15 @@
     async def read_chunk(self) -> bytes | None:
         """Return the next part of the body, or None at its end.
 
+        After each `PACED_CHUNKS` of a read the part ends, and others are served.
         Raises `ExchangeFailedError` if the connection ends before the body.
         """
-        pieces = []
-        while not self._is_body_complete:
+        pieces: list[bytes] = []
+        while not self._is_body_complete and len(pieces) < PACED_CHUNKS:
             event = self._try_next_event()
             if type(event) is h11.Data:
                 pieces.append(event.data)
+                await self._count_chunk()
             elif type(event) is h11.EndOfMessage:
                 self._is_body_complete = True
             elif pieces:
@@ -241,7 +251,13 @@
         self._needs_data = event is h11.NEED_DATA
         return event
 
+    async def _count_chunk(self) -> None:
+        self._parsed_chunks += 1
+        if self._parsed_chunks % PACED_CHUNKS == 0:
+            await self.pace.spend(PACED_CHUNKS)
+
     async def _receive_more(self) -> None:
+        self._parsed_chunks = 0
         try:
             data = await self._stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -268,7 +284,8 @@
 class ClientPool:
     """Pool of connections by address; times are in seconds.
 
-    No connection is kept idle while the process `is_short` of memory.
+    No connection is kept idle while the process `is_short` of memory. All of them share
+    the `pace` at which answers in tiny chunks are parsed.
     """
 
     connector: Connector = connect_tcp
@@ -276,6 +293,7 @@
     idle_timeout: float = 4.0
     max_idle: int = 64
     is_short: Callable[[], bool] = lambda: False
+    pace: ParsingPace = attrs.field(factory=ParsingPace)
     _idle: dict[str, list[ClientConnection]] = attrs.field(factory=dict, init=False)
     _open: Counter[str] = attrs.field(factory=Counter, init=False)
     _next_expiry_check: float = attrs.field(default=float("-inf"), init=False)
@@ -347,7 +365,7 @@
                 self._count_closed(address)
         if stream is None:
             raise ConnectFailedError(f"{address}: no connection in time")
-        return ClientConnection.from_stream(stream, address)
+        return ClientConnection.from_stream(stream, address, self.pace)
 
     async def _close_expired(self) -> None:
         """Close connections that idled too long, also at addresses no longer used."""
--- a/packages/geraniumhall-net/tests/test_client.py
+++ b/packages/geraniumhall-net/tests/test_client.py
@@ -9,7 +9,9 @@
 import trio
 import trio.testing
 
+from geraniumhall_net.budget import ParsingPace
 from geraniumhall_net.client import (
+    PACED_CHUNKS,
     ClientPool,
     ConnectFailedError,
     ExchangeFailedError,
@@ -139,6 +141,54 @@
         run(test)
 
 
+class TinyChunkTest(unittest.TestCase):
+    """Answers in tiny chunks take no more than their share of the process's time."""
+
+    HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    def fetch(self, chunks: int, rate: float) -> tuple[int, float]:
+        """Fetch an answer in chunks of a byte; return its size and the time taken."""
+        answer = self.HEAD + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n"
+        server = ScriptedServer(answer)
+        pool = ClientPool(connector=server.connect, pace=ParsingPace(rate, burst=0.0))
+        size, seconds = 0, 0.0
+
+        async def test() -> None:
+            nonlocal size, seconds
+            began_at = trio.current_time()
+            response = await fetch_response(pool, ADDRESS, REQUEST, 1000.0)
+            size = len(response.body)
+            seconds = trio.current_time() - began_at
+
+        run(test)
+        return size, seconds
+
+    def test_chunks_of_one_read_are_paced(self) -> None:
+        """Guards against one exchange that is parsed until it ends."""
+        size, seconds = self.fetch(640, rate=64.0)
+        self.assertEqual(size, 640)
+        self.assertAlmostEqual(seconds, 10.0, places=3)
+
+    def test_few_chunks_cost_nothing(self) -> None:
+        """A read of an ordinary stream has few chunks."""
+        self.assertEqual(self.fetch(PACED_CHUNKS - 1, rate=1.0)[1], 0.0)
+
+    def test_other_tasks_run_between_the_parts(self) -> None:
+        """The start of a long read is handed on before the rest of it is parsed."""
+        answer = self.HEAD + b"1\r\nx\r\n" * 1000
+        server = ScriptedServer(answer)
+        pool = ClientPool(connector=server.connect)
+
+        async def test() -> None:
+            connection = await pool.acquire(ADDRESS)
+            await connection.send_request(REQUEST)
+            await connection.read_head()
+            chunk = await connection.read_chunk()
+            self.assertEqual(chunk, b"x" * PACED_CHUNKS)
+
+        run(test)
+
+
 class AbandonedCallTest(unittest.TestCase):
     """A call without an answer is taken back, over real sockets."""
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/settings.py
@@ -326,6 +326,8 @@
     most `max_idle` idle connections are kept to each server, each of them for
     `idle_timeout`. A server that asks this host to wait gets no request for so long,
     but at most for `max_closed`, so that an absurd time does not lose it for good.
+    Answers in very small chunks are parsed at `max_chunk_rate` chunks a second for all
+    servers together; chunks that arrive one by one don't count.
     """
 
     connect_timeout: Seconds = Seconds(1.0)
@@ -333,6 +335,7 @@
     idle_timeout: Seconds = Seconds(4.0)
     max_idle: int = attrs.field(default=64, validator=validators.ge(0))
     max_closed: Seconds = Seconds(600.0)
+    max_chunk_rate: float = attrs.field(default=10_000.0, validator=validators.gt(0))
 
 
 @attrs.frozen(kw_only=True)
