Bound the fields of answers' heads before they are parsed

Cause: the parser bounds a head's bytes while it is incomplete, not its fields, and each field takes a hundred times its four bytes as objects. The head was kept with its exchange, and heads of answers aren't in the budget.

--- a/packages/geraniumhall-bench/tests/test_endless_answers.py
+++ b/packages/geraniumhall-bench/tests/test_endless_answers.py
@@ -30,6 +30,7 @@
 OK = b"HTTP/1.1 200 OK\r\nx-server-stamp: 1\r\n"
 CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
 EVENTS = OK + b"content-type: text/event-stream\r\n"
+FIELDS = b"a:\r\n" * 4000
 
 
 @attrs.frozen
@@ -90,6 +91,10 @@
     "events in chunks of one byte": EndlessAnswer(
         EVENTS + b"transfer-encoding: chunked\r\n\r\n", b"1\r\n\n\r\n" * 4000
     ),
+    "informational heads of very many fields": EndlessAnswer(
+        b"", b"HTTP/1.1 102 Processing\r\n" + FIELDS + b"\r\n"
+    ),
+    "a head of very many fields": EndlessAnswer(OK + FIELDS + b"\r\n", b"x" * 65536),
     "a body without a length": EndlessAnswer(OK + b"\r\n", b"x" * 65536),
     "an event that does not end": EndlessAnswer(EVENTS + b"\r\n", b"x" * 65536),
     "an error without a length": EndlessAnswer(
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -17,6 +17,7 @@
 import trio
 
 from geraniumhall_net.budget import ParsingPace
+from geraniumhall_net.head_bounds import MAX_HEAD_FIELDS, HeadBound
 from geraniumhall_net.kernel_buffers import (
     SERVER_RECEIVE_BYTES,
     SERVER_SEND_BYTES,
@@ -102,6 +103,7 @@
     server_idle_timeout: float = float("inf")
     refused: set[str] = attrs.field(factory=set)
     pace: ParsingPace = attrs.field(factory=ParsingPace)
+    _bound: HeadBound = attrs.field(factory=HeadBound, init=False)
     _parsed_chunks: int = attrs.field(default=0, init=False)  # of the latest read
     _is_body_complete: bool = attrs.field(default=False, init=False)
     _needs_data: bool = attrs.field(default=True, init=False)
@@ -210,6 +212,7 @@
             self._http.start_next_cycle()
         except h11.ProtocolError:
             return False
+        self._bound = HeadBound()
         self._is_body_complete = False
         self._needs_data = True
         return not self._http.trailing_data[0]
@@ -264,6 +267,8 @@
             raise ExchangeFailedError(f"receiving failed: {error}") from error
         if not data and self._is_reset():
             raise ExchangeFailedError("the connection was reset after its end")
+        if not self._bound.feed(data):
+            raise ExchangeFailedError(f"a head of more than {MAX_HEAD_FIELDS} fields")
         self._http.receive_data(data)
         self._needs_data = False
 
