Bound the bodies that are read as a whole, all together

A prefill's answer, a handle, was read up to 1 MiB, outside the budget.

Fix: BodyBudget, 16 MiB for each pool; an exchange may always hold its equal part, so one that is flooded fails no other. Answers to orders, releases and prefills have 64 KiB at most.

Evidence: test_bodies_of_several_exchanges_are_bounded_together failed before (135,077,904 bytes, 50,331,648 allowed, the bound of one). EndlessPrefillTest needs the new constant.

--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/orders.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/orders.py
@@ -4,6 +4,7 @@
 from geraniumhall_core.events import OrderAnswered
 from geraniumhall_core.orders import OrderOutcome
 from geraniumhall_daemon.daemon import PERFORMERS, Daemon
+from geraniumhall_net.bodies import MAX_SHORT_BODY_BYTES
 from geraniumhall_net.client import (
     ConnectFailedError,
     ExchangeFailedError,
@@ -38,7 +39,12 @@
     request = build_json_request("POST", ORDER_TARGET, data)
     try:
         response = await fetch_response(
-            daemon.pool, effect.address, request, effect.timeout, reuse=False
+            daemon.pool,
+            effect.address,
+            request,
+            effect.timeout,
+            reuse=False,
+            max_body=MAX_SHORT_BODY_BYTES,
         )
     except ConnectFailedError:
         return OrderOutcome.NOT_SENT
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/relays.py
@@ -21,6 +21,7 @@
 from geraniumhall_daemon.exchanges import EXCHANGE_PERFORMERS, Exchange
 from geraniumhall_daemon.logs import write_log
 from geraniumhall_daemon.serving import send_refusal
+from geraniumhall_net.bodies import MAX_SHORT_BODY_BYTES
 from geraniumhall_net.client import (
     ClientConnection,
     ConnectFailedError,
@@ -201,7 +202,10 @@
         return AttemptResult(outcome, verdict, reason=reason)
 
     async def _read_prefill_result(self, head: ResponseHead) -> AttemptResult:
-        body = b"".join(await self._read_buffered(head))
+        pieces = await self._read_buffered(head, MAX_SHORT_BODY_BYTES)
+        if not self.is_complete:
+            raise ExchangeFailedError(f"a body over {MAX_SHORT_BODY_BYTES} bytes")
+        body = b"".join(pieces)
         try:
             kv_cache = self.daemon.front.decode_kv_cache_ref(self.effect, body)
         except InvalidDataError as error:
@@ -280,18 +284,19 @@
             self.scanner.feed(chunk)
         return chunk
 
-    async def _read_buffered(self, head: ResponseHead) -> list[bytes]:
+    async def _read_buffered(
+        self, head: ResponseHead, most: int = MAX_BUFFERED_BYTES
+    ) -> list[bytes]:
         """Return the pieces of the body, or of the start of a long one.
 
-        The start ends beyond `MAX_BUFFERED_BYTES`, or where the memory for answers
-        does. A body with a length is buffered whole or not at all, so that its server
-        is free soon.
+        The start ends beyond `most` bytes, or where the memory for answers does. A body
+        with a length is buffered whole or not at all, so that its server is free soon.
         """
         pieces: list[bytes] = []
         size = 0
         declared = int(head.find(b"content-length") or 0)
-        has_room = await self._hold(min(declared, MAX_BUFFERED_BYTES))
-        while size <= MAX_BUFFERED_BYTES:
+        has_room = await self._hold(min(declared, most))
+        while size <= most:
             chunk = await self._read_chunk()
             if chunk is None:
                 break
@@ -474,7 +479,11 @@
     request = daemon.front.build_kv_cache_release(kv_cache)
     try:
         await fetch_response(
-            daemon.pool, kv_cache.address, request, RELEASE_TIMEOUT_SECONDS
+            daemon.pool,
+            kv_cache.address,
+            request,
+            RELEASE_TIMEOUT_SECONDS,
+            max_body=MAX_SHORT_BODY_BYTES,
         )
     except ConnectionError as error:
         fields = {"server": kv_cache.server, "reason": str(error)}
--- a/packages/geraniumhall-daemon/tests/test_relays.py
+++ b/packages/geraniumhall-daemon/tests/test_relays.py
@@ -2,12 +2,19 @@
 
 import unittest
 from json import loads
+from types import SimpleNamespace
+from typing import Any
 
+import attrs
 import trio
 from session import Session, build_chat, build_post, run_session
 
 from geraniumhall_bench.standins.model import FaultInjection
+from geraniumhall_core.effects import PrefillPrompt
+from geraniumhall_daemon.relays import Relay
+from geraniumhall_net.bodies import MAX_SHORT_BODY_BYTES
 from geraniumhall_net.client import ExchangeFailedError, ResponseHead
+from geraniumhall_wire.scanners import PassthroughScanner
 
 ENGINES = ("10.0.0.1:80", "10.0.0.2:80")
 SERVICE = "10.0.0.3:80"
@@ -77,6 +84,49 @@
         self.assertEqual(found, (503, "no_backend_server", "not_run"))
 
 
+@attrs.define
+class EndlessUpstream:
+    """A connection whose answer never ends."""
+
+    read: int = 0
+
+    async def read_chunk(self) -> bytes:
+        """Return a further part of the body."""
+        self.read += 4096
+        return b"x" * 4096
+
+
+class EndlessPrefillTest(unittest.TestCase):
+    """What is read of a prefill's answer is short, however long that is."""
+
+    def test_long_answer_fails_the_prefill(self) -> None:
+        """Guards against a mebibyte for each prefill on a faulty engine."""
+        upstream = EndlessUpstream()
+        share = SimpleNamespace(add=lambda size: None)
+        connection = SimpleNamespace(share=share)
+        effect = PrefillPrompt(
+            request_id="r1",
+            attempt_id="r1.1",
+            server="e1",
+            address=ENGINES[0],
+            timeout=1.0,
+            reuse=True,
+        )
+
+        async def test() -> None:
+            exchange: Any = SimpleNamespace(connection=connection)
+            relay = Relay(SimpleNamespace(), exchange, effect)  # type: ignore[arg-type]
+            relay.upstream = upstream  # type: ignore[assignment]
+            relay.scanner = PassthroughScanner()
+            relay.next_deadline_update = float("inf")
+            with self.assertRaises(ExchangeFailedError):
+                head = ResponseHead(status=200, headers=())
+                await relay._read_prefill_result(head)
+
+        trio.run(test)
+        self.assertLess(upstream.read, 2 * MAX_SHORT_BODY_BYTES)
+
+
 class BrokenStreamTest(unittest.TestCase):
     """A stream that breaks after its start ends in an error."""
 
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -16,6 +16,7 @@
 import h11
 import trio
 
+from geraniumhall_net.bodies import MAX_FETCHED_BYTES, BodyBudget, BodyShare
 from geraniumhall_net.budget import ParsingPace
 from geraniumhall_net.head_bounds import MAX_HEAD_FIELDS, HeadBound
 from geraniumhall_net.kernel_buffers import (
@@ -30,7 +31,6 @@
 
 RECEIVE_BYTES = 65536  # at most, in one read
 PACED_CHUNKS = 64  # of one read, parsed without letting other tasks run
-MAX_FETCHED_BYTES = 16 * 2**20  # of a body that is read as a whole
 MAX_INFORMATIONAL_HEADS = 16  # before the final response
 MAX_STATUS = 599  # the parser takes any three digits
 MAX_REFUSED = 64  # refused exchanges on one connection
@@ -192,18 +192,18 @@
                 await self._receive_more()
         return b"".join(pieces) if pieces else None
 
-    async def read_body(self) -> bytes:
-        """Return the complete body, of at most `MAX_FETCHED_BYTES`.
+    async def read_body(self, share: BodyShare | None = None) -> bytes:
+        """Return the complete body, which `share` counts as held.
 
-        Raises `ExchangeFailedError` for a longer one too.
+        Raises `ExchangeFailedError` if there is no room for it; without a share that is
+        beyond `MAX_FETCHED_BYTES`.
         """
+        share = share or BodyShare(BodyBudget(), MAX_FETCHED_BYTES)
         pieces = []
-        size = 0
         while (chunk := await self.read_chunk()) is not None:
+            if not share.grow(len(chunk)):
+                raise ExchangeFailedError(f"no room for a body over {share.size} bytes")
             pieces.append(chunk)
-            size += len(chunk)
-            if size > MAX_FETCHED_BYTES:
-                raise ExchangeFailedError(f"a body over {MAX_FETCHED_BYTES} bytes")
         return b"".join(pieces)
 
     def start_next_cycle(self) -> bool:
@@ -290,7 +290,8 @@
     """Pool of connections by address; times are in seconds.
 
     No connection is kept idle while the process `is_short` of memory. All of them share
-    the `pace` at which answers in tiny chunks are parsed.
+    the `pace` at which answers in tiny chunks are parsed, and `bodies` bounds those
+    answers that are read as a whole.
     """
 
     connector: Connector = connect_tcp
@@ -299,6 +300,7 @@
     max_idle: int = 64
     is_short: Callable[[], bool] = lambda: False
     pace: ParsingPace = attrs.field(factory=ParsingPace)
+    bodies: BodyBudget = attrs.field(factory=BodyBudget)
     _idle: dict[str, list[ClientConnection]] = attrs.field(factory=dict, init=False)
     _open: Counter[str] = attrs.field(factory=Counter, init=False)
     _next_expiry_check: float = attrs.field(default=float("-inf"), init=False)
@@ -401,21 +403,24 @@
     request: UpstreamRequest,
     timeout: float,
     reuse: bool = True,
+    max_body: int = MAX_FETCHED_BYTES,
 ) -> BufferedResponse:
     """Send a request and return the response with its complete body.
 
     Without `reuse` a new connection is opened. `timeout` is in seconds and
-    starts once there is a connection. A connection without a whole response is
-    reset, so that the request can't arrive later. Raises `ConnectFailedError` if
-    connecting failed, and `ExchangeFailedError` if the exchange did.
+    starts once there is a connection. A body of more than `max_body` bytes fails the
+    exchange, and so does one that the pool has no room for. A connection without a
+    whole response is reset, so that the request can't arrive later. Raises
+    `ConnectFailedError` if connecting failed, and `ExchangeFailedError` if the exchange
+    did.
     """
     connection = await pool.acquire(address, reuse)
     is_complete = False
     try:
-        with trio.move_on_after(timeout):
+        with trio.move_on_after(timeout), pool.bodies.open_share(max_body) as share:
             await connection.send_request(request)
             head = await connection.read_head()
-            body = await connection.read_body()
+            body = await connection.read_body(share)
             is_complete = True
             return BufferedResponse(head, body)
         raise ExchangeFailedError(f"no whole answer within {timeout} s")
--- a/packages/geraniumhall-net/tests/test_endless.py
+++ b/packages/geraniumhall-net/tests/test_endless.py
@@ -7,18 +7,15 @@
 
 import trio
 
-from geraniumhall_net.client import (
-    MAX_FETCHED_BYTES,
-    ClientPool,
-    ExchangeFailedError,
-    fetch_response,
-)
+from geraniumhall_net.bodies import MAX_FETCHED_BYTES
+from geraniumhall_net.client import ClientPool, ExchangeFailedError, fetch_response
 from geraniumhall_wire.heads import UpstreamRequest
 
 REQUEST = UpstreamRequest(b"GET", b"/", (), b"")
 TIMEOUT_SECONDS = 5.0  # more than the calls of a daemon have
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 BLOCK = 16_384
+EXCHANGES = 8
 
 # Each kind of answer goes on until the caller closes the connection.
 ENDLESS_ANSWERS: dict[str, tuple[bytes, bytes]] = {
@@ -42,6 +39,10 @@
 class EndlessAnswerTest(unittest.TestCase):
     """An answer without end fails its exchange at a bound of bytes."""
 
+    def setUp(self) -> None:
+        """Use one pool for all exchanges of a test."""
+        self.pool = ClientPool()
+
     is_closed = False
     error: ExchangeFailedError | None = None
 
@@ -60,7 +61,7 @@
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             nursery.start_soon(trio.serve_listeners, serve, listeners)
             host, port = listeners[0].socket.getsockname()[:2]
-            pool = ClientPool()
+            pool = self.pool
             try:
                 await fetch_response(pool, f"{host}:{port}", REQUEST, TIMEOUT_SECONDS)
             except ExchangeFailedError as error:
@@ -88,6 +89,24 @@
                 # The pieces and their concatenation exist at once.
                 self.assertLess(peak, 3 * MAX_FETCHED_BYTES)
 
+    def test_bodies_of_several_exchanges_are_bounded_together(self) -> None:
+        """Guards against as many bodies of the largest size as there are calls."""
+        kind = "a body without a length"
+
+        async def fetch_all() -> None:
+            async with trio.open_nursery() as nursery:
+                for _ in range(EXCHANGES):
+                    nursery.start_soon(self.fetch, *ENDLESS_ANSWERS[kind])
+
+        tracemalloc.start()
+        try:
+            trio.run(fetch_all)
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        self.assertIsInstance(self.error, ExchangeFailedError)
+        self.assertLess(peak, 3 * MAX_FETCHED_BYTES)
+
     def test_informational_answers_are_counted(self) -> None:
         """Answers that announce another one end the exchange by their number."""
         trio.run(self.fetch, *ENDLESS_ANSWERS["informational answers"])
