--- a/packages/geraniumhall-wire/src/geraniumhall_wire/json_text.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/json_text.py
@@ -12,6 +12,14 @@
 TOKEN_PATTERN = compile_pattern(rf"{STRING}|[\[{{]+|[\]}}]+|,", DOTALL)
 KEY_PATTERN = compile_pattern(rf"\s*({STRING})\s*:", DOTALL)
 OPENING, CLOSING = "[{", "]}"
+BYTES_PER_CONTAINER = 200  # of a parsed object or list
+BYTES_PER_ITEM = 40  # of a parsed number or short text
+
+
+def estimate_parsed_bytes(text: bytes) -> int:
+    """Return about how much memory parsed JSON takes beside its texts."""
+    containers = text.count(b"{") + text.count(b"[")
+    return containers * BYTES_PER_CONTAINER + text.count(b",") * BYTES_PER_ITEM
 
 
 @attrs.frozen
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/openai_front.py
@@ -33,6 +33,7 @@
 from geraniumhall_wire.converter import FieldViolation, InvalidDataError
 from geraniumhall_wire.fronts import FRONTS, EncodedRefusal, ParsedCall, ResponseKind
 from geraniumhall_wire.heads import Header, RequestHead, ResponseHead, UpstreamRequest
+from geraniumhall_wire.json_text import estimate_parsed_bytes
 from geraniumhall_wire.notices import NoticeHeaders
 from geraniumhall_wire.refusals import encode_refusal, encode_refusal_event, get_status
 from geraniumhall_wire.scanners import Scanner, choose_scanner
@@ -46,8 +47,6 @@
 MAX_MODEL_CHARACTERS = 256  # of a model's name
 MAX_TIMEOUT_DIGITS = 15
 MAX_PARSED_BYTES = 64 * 2**20  # of memory, estimated, that a JSON body is parsed into
-BYTES_PER_CONTAINER = 200  # of a parsed object or list
-BYTES_PER_ITEM = 40  # of a parsed number or short text
 PREFIX_BYTES = 1024  # of the prompt, hashed for routing by prefix
 MIN_RETRY_SECONDS = 1
 STATUS_SERVER_ERROR = 500
@@ -214,14 +213,8 @@
     return bool(sent) and any(sent in place for place in places)
 
 
-def _estimate_parsed_bytes(body: bytes) -> int:
-    """Return about how much memory the parsed body takes beside its texts."""
-    containers = body.count(b"{") + body.count(b"[")
-    return containers * BYTES_PER_CONTAINER + body.count(b",") * BYTES_PER_ITEM
-
-
 def _parse_object(body: bytes) -> dict[str, Any] | Refusal:
-    if _estimate_parsed_bytes(body) > MAX_PARSED_BYTES:
+    if estimate_parsed_bytes(body) > MAX_PARSED_BYTES:
         return BODY_TOO_LARGE.with_reason("the body has too many parts")
     try:
         data = loads(body)
