Let a slow upload yield its place when all are taken

Cause: at the bound on connections a request yielded its place only after a second of silence. One that arrives a little at a time is never silent, and min_progress and read_timeout let it go on for 30 s.

Fix: once no connection is stalled or idle, the slowest request yields that has arrived for over 2 s and isn't whole. While there are places nothing changes.

test_order_of_yielding is changed: it listed a request that has been arriving for 10 s among those that keep their place, which is the fault. It lists one of up to 2 s now, and the order among slow ones, which it didn't check.

--- a/packages/geraniumhall-bench/tests/test_crowds.py
+++ b/packages/geraniumhall-bench/tests/test_crowds.py
@@ -25,6 +25,7 @@
 CROWD = 60
 LARGE_CROWD = 400
 QUIET_SECONDS = 30.0
+TRICKLE_SECONDS = 0.7  # between two chunks of 100 bytes
 BLOCK = b"x" * 65_536
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 REPORT = HEAD.replace(b"/filings", b"/reports") + b"content-length: 2\r\n\r\nhi"
@@ -166,6 +167,24 @@
         """Many connections with the start of a head keep no ordinary caller out."""
         self.play(LARGE_CROWD, begin_head)
 
+    def test_bodies_that_trickle(self) -> None:
+        """Guards against uploads that keep ordinary callers out while they go on."""
+
+        async def trickle(stream: trio.SocketStream) -> None:
+            chunk = b"64\r\n" + b"x" * 100 + b"\r\n"
+            try:
+                while True:
+                    await stream.send_all(chunk)
+                    await trio.sleep(TRICKLE_SECONDS)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return  # the daemon may close the connection
+
+        async def send(stream: trio.SocketStream) -> None:
+            await stream.send_all(CHUNKED)
+            trio.lowlevel.spawn_system_task(trickle, stream)
+
+        self.play(LARGE_CROWD, send)
+
     def test_json_of_very_many_parts(self) -> None:
         """Bodies of 4 MiB that a JSON parser makes 1.4 million objects of."""
         self.play(CROWD // 3, send_many_parts)
--- a/packages/geraniumhall-core/src/geraniumhall_core/buffers.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/buffers.py
@@ -23,6 +23,7 @@
 RESERVED_FRACTION = 0.25  # of the budget, for ordinary connections
 FREED_FRACTION = 1 / 16  # of the budget, freed at once so that few decisions do
 STALL_SECONDS = 1.0  # without a byte of the body
+SLOW_SECONDS = 2.0  # since the first bytes of a request that isn't whole
 UNREAD_SECONDS = 5.0  # without a byte of the answer taken
 
 
@@ -153,8 +154,10 @@
     def choose_closed(self, now: float, holdings: Iterable[Holding]) -> Holding | None:
         """Return the oldest stalled request, else the longest idle connection.
 
-        Without either, the answer that has been unread for longest yields. A connection
-        that was heard of within `STALL_SECONDS` is kept, so that a new one waits.
+        Without either, the slowest request yields that has arrived for `SLOW_SECONDS`
+        and isn't whole, then the answer that has been unread for longest. It answers
+        the load in which uploads that go on, a little at a time, hold all places.
+        Other connections are kept, so that a new one waits.
         """
         ranked = [(_rank_for_place(now, holding), holding) for holding in holdings]
         closable = [(rank, holding) for rank, holding in ranked if rank is not None]
@@ -168,8 +171,11 @@
         return 0, holding.began_at
     if holding.kind is HoldingKind.IDLE and silence > STALL_SECONDS:
         return 1, holding.progressed_at
+    is_slow = now - holding.began_at > SLOW_SECONDS
+    if holding.kind is HoldingKind.INCOMPLETE and is_slow:
+        return 2, holding.compute_speed(now)
     if holding.kind is HoldingKind.ANSWER and silence > UNREAD_SECONDS:
-        return 2, holding.progressed_at
+        return 3, holding.progressed_at
     return None
 
 
--- a/packages/geraniumhall-core/tests/test_buffers.py
+++ b/packages/geraniumhall-core/tests/test_buffers.py
@@ -5,6 +5,7 @@
 
 from geraniumhall_core.buffers import (
     MEMORY_POLICIES,
+    SLOW_SECONDS,
     Holding,
     HoldingKind,
     MemoryDecision,
@@ -122,14 +123,23 @@
         return POLICY.choose_closed(NOW, holdings)
 
     def test_order_of_yielding(self) -> None:
-        """Stalled requests, idle connections, unread answers; no fresh connection."""
+        """Stalled requests, idle connections, slow requests, unread answers.
+
+        A connection that has just begun or was just heard of yields to none of them.
+        """
         order = [
             build_holding(INCOMPLETE, 1, 2.0),
             build_holding(IDLE, 1, 9.0),
             build_holding(IDLE, 1, 3.0),
+            build_holding(INCOMPLETE, 1),
+            build_holding(INCOMPLETE, 50),
             build_holding(ANSWER, 1, 6.0),
         ]
-        rest = [build_holding(kind, 1) for kind in HoldingKind]
+        rest = [build_holding(kind, 1) for kind in (IDLE, RUNNING, ANSWER)]
+        for age in (0.0, SLOW_SECONDS):
+            holding = build_holding(INCOMPLETE, 1)
+            holding.began_at = NOW - age
+            rest.append(holding)
         while order:
             self.assertIs(self.choose(*rest, *reversed(order)), order.pop(0))
         self.assertIsNone(self.choose(*rest))
