--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/feeds.py
@@ -90,7 +90,7 @@
 def start_feeds(state: DaemonState, event: DaemonStarted) -> Iterator[Effect]:
     """Request a listing of every feed."""
     for feed in Feed:
-        yield _request_feed(state, feed, event.at)
+        yield request_feed(state, feed, event.at)
 
 
 @ANSWER_HANDLERS.register(FollowFeed)
@@ -132,7 +132,7 @@
     if rest_feed(state, purpose.feed, event.at):
         return
     pause = _choose_pause(state, purpose.feed, event)
-    yield _request_feed(state, purpose.feed, event.at, pause)
+    yield request_feed(state, purpose.feed, event.at, pause)
 
 
 @ERA_HANDLERS.register("feeds")
@@ -151,7 +151,7 @@
         feed_state.revision = state.era.absent_version
         state.relay.resting.discard(feed)
         delay = spread if feed is Feed.RECORDS else 0.0
-        yield _request_feed(state, feed, event.at, delay)
+        yield request_feed(state, feed, event.at, delay)
 
 
 def apply_edit(
@@ -165,7 +165,7 @@
     """Read the resting feeds that no reader confirms in time."""
     for feed in list_due_feeds(state, now):
         state.relay.resting.discard(feed)
-        yield _request_feed(state, feed, now)
+        yield request_feed(state, feed, now)
 
 
 def apply_relayed(
@@ -196,15 +196,21 @@
         yield from _apply_changes(state, list(held.values()), now)
 
 
-def _request_feed(
-    state: DaemonState, feed: Feed, now: float, delay: float = 0.0
+def request_feed(
+    state: DaemonState,
+    feed: Feed,
+    now: float,
+    delay: float = 0.0,
+    most: float = float("inf"),
 ) -> CallPlatform:
+    """Return the call that reads a feed next; a watch waits for `most` seconds."""
     message: PlatformMessage = ListObjects(feed)
     feed_state, wait, is_exact = state.feeds[feed], 0.0, True
     if feed_state.revision.number:
-        wait = _choose_watch_wait(state, feed, now)
+        wait = min(most, _choose_watch_wait(state, feed, now))
         is_exact = not reads_stale(state, feed, now)
         message = WatchObjects(feed, feed_state.revision, wait, is_exact)
+    feed_state.requested_at = now + delay
     purpose = FollowFeed(feed, wait, is_exact, feed_state.series)
     return CallPlatform(purpose=purpose, message=message, delay=delay)
 
@@ -264,7 +270,7 @@
     if isinstance(event.answer, HistoryGone):
         feed_state.revision = state.era.absent_version
         yield _log_feed("info", "feed_history_gone", feed)
-        yield _request_feed(state, feed, event.at)
+        yield request_feed(state, feed, event.at)
         return
     if not feed_state.failures:
         yield _log_feed("warning", "feed_lost", feed, _describe_failure(event.answer))
@@ -282,7 +288,7 @@
     if feed is Feed.RECORDS and state.is_sparing:
         delay = max(delay, RECORDS_RETRY_SECONDS)
     if not postpone_feed(state, feed, event.at, delay):
-        yield _request_feed(state, feed, event.at, delay)
+        yield request_feed(state, feed, event.at, delay)
 
 
 def _apply_answer(
--- a/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/purposes.py
@@ -3,6 +3,8 @@
 An answer of the platform is dispatched to the handler of its call's purpose.
 """
 
+from typing import ClassVar
+
 import attrs
 
 from geraniumhall_core.leases import Lease
@@ -15,7 +17,12 @@
 
 @attrs.frozen
 class Purpose:
-    """The purpose of one platform call."""
+    """The purpose of one platform call.
+
+    Calls of a duty go to another address of the platform than the store's.
+    """
+
+    is_duty: ClassVar[bool] = False
 
 
 @attrs.frozen
@@ -81,6 +88,8 @@
 class ScaleDomain(Purpose):
     """Request a number of servers for a service in a failure domain."""
 
+    is_duty: ClassVar[bool] = True
+
     service: str
     failure_domain: str
     reclaimable: bool
@@ -103,6 +112,8 @@
 class ReportWindow(Purpose):
     """Report the figures of a sealed window."""
 
+    is_duty: ClassVar[bool] = True
+
     window: WindowUsage
 
 
--- a/packages/geraniumhall-core/src/geraniumhall_core/state.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/state.py
@@ -71,7 +71,8 @@
     last exact one confirmed it, and infinity otherwise. `failures` counts failed
     calls in a row. `unusable` holds the objects that can't be decoded, with the reason.
     Answers to calls of an earlier `series` are ignored; a new one begins with each era
-    of the store. `listed_era` is the era of the latest listing.
+    of the store, and where a call is given up. `requested_at` is when the latest call
+    was due. `listed_era` is the era of the latest listing.
     """
 
     revision: Revision = NO_REVISION
@@ -79,6 +80,7 @@
     exact_until: float = float("inf")
     failures: int = 0
     series: int = 0
+    requested_at: float = float("-inf")
     listed_era: int = 0
     unusable: dict[ObjectKey | None, str] = attrs.field(factory=dict)
 
--- a/packages/geraniumhall-core/tests/test_feeds.py
+++ b/packages/geraniumhall-core/tests/test_feeds.py
@@ -368,9 +368,9 @@
         )
         late = build_answer(FollowFeed(Feed.CONFIGURATION), DOWN, at=9.5)
         reduce(state, attrs.evolve(late, called_at=8.0))
-        apply_feed_answer(
-            state, Feed.SERVERS, Listing(Revision(number=110), ()), at=10.0
-        )
+        repeated = FollowFeed(Feed.SERVERS, series=state.feeds[Feed.SERVERS].series)
+        listing = Listing(Revision(number=110), ())
+        reduce(state, build_answer(repeated, listing, at=10.0))
         reduce(state, Ticked(at=11.1, wall_time=11.1, draws=(0.0, 0.0)))
         self.assertNotIn("e9", list_servers(state))
 
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -355,10 +355,10 @@
         """Return the number of open connections by address, idle ones included."""
         return dict(self._open)
 
-    async def close_idle(self) -> None:
-        """Close all idle connections."""
+    async def close_idle(self, only: str = "") -> None:
+        """Close all idle connections, or those to one address only."""
         for address, idle in list(self._idle.items()):
-            while idle:
+            while idle and only in ("", address):
                 await self.discard(address, idle.pop())
 
     async def _connect(self, address: str) -> ClientConnection:
@@ -410,7 +410,8 @@
     Without `reuse` a new connection is opened. `timeout` is in seconds and
     starts once there is a connection. A body of more than `max_body` bytes fails the
     exchange, and so does one that the pool has no room for. A connection without a
-    whole response is reset, so that the request can't arrive later. Raises
+    whole response is reset, so that the request can't arrive later. If it has timed
+    out, idle connections to the address may be as dead and are closed. Raises
     `ConnectFailedError` if connecting failed, and `ExchangeFailedError` if the exchange
     did.
     """
@@ -423,6 +424,7 @@
             body = await connection.read_body(share)
             is_complete = True
             return BufferedResponse(head, body)
+        await pool.close_idle(address)
         raise ExchangeFailedError(f"no whole answer within {timeout} s")
     finally:
         if is_complete:
--- a/packages/geraniumhall-net/tests/test_client.py
+++ b/packages/geraniumhall-net/tests/test_client.py
@@ -223,6 +223,22 @@
 
         self.assertEqual(trio.run(self.abandon_call, abandon), "reset")
 
+    def test_idle_connections_are_closed_with_one_that_is_silent(self) -> None:
+        """Guards against calls that wait in vain on each kept connection in turn."""
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+        server = ScriptedServer(answer, answer)
+        pool = ClientPool(connector=server.connect)
+
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(fetch_response, pool, ADDRESS, REQUEST, 1.0)
+            with self.assertRaises(ExchangeFailedError):
+                await fetch_response(pool, ADDRESS, REQUEST, 1.0)
+
+        run(test)
+        self.assertEqual(pool.count_open(), {})
+
     def test_call_that_is_cancelled_is_reset(self) -> None:
         """A cancelled call, such as one that expired, is reset too."""
 
