Count the objects of a head's fields as held for its caller

Cause: the budget of memory counted the bytes of names and values, 4 KB of some 650 KB that the objects of the head and a copy for the server take.

Fix: each field beyond 16 counts 160 bytes beside its text, and room is asked for before the request is handled; without room it is refused as not run. The fields for the server are the same objects. A single such head is served.

Ruled out: a bound on the number of fields.

--- a/packages/geraniumhall-bench/tests/test_long_requests.py
+++ b/packages/geraniumhall-bench/tests/test_long_requests.py
@@ -18,6 +18,7 @@
 REQUESTS = 400
 MODEL_REQUESTS = 120
 MODEL_BYTES = MIB
+HEAD_BYTES = 16_000
 PARTS = b",".join(b"%d:1" % part for part in range(5500))[:32_000]
 ROUTED = ORDINARY.replace(b"host: a\r\n", b"host:\r\nx-request-id: 1\r\n")
 
@@ -46,6 +47,13 @@
     return request.replace(b"length: 0\r\n\r\n", b"length: 2\r\n\r\nhi")
 
 
+def wait_with_many_fields(number: int) -> bytes:
+    """Return a request with thousands of fields that waits for its server."""
+    head = b"POST /waits HTTP/1.1\r\nhost:\r\nx-request-id: r%d\r\n" % number
+    fields = b"a:\r\n" * ((HEAD_BYTES - len(head)) // 4)
+    return head + fields + b"content-length: 2\r\n\r\nhi"
+
+
 class LongRequestTest(CrowdCase):
     """What a daemon keeps of a request is bounded, whatever its names are."""
 
@@ -100,8 +108,18 @@
         """Thousands of parts, in requests for no route."""
         self.play("routed", REQUESTS, name_many_parts)
 
+    def test_many_fields_of_requests_that_wait(self) -> None:
+        """Guards against heads that take a hundred times their bytes in memory."""
+        for front in ("openai", "routed"):
+            with self.subTest(front=front):
+                self.play_waiting(front, wait_with_many_fields)
+
     def test_many_parts_of_prompts_that_wait(self) -> None:
         """Thousands of parts, in requests that all wait for their server."""
+        self.play_waiting("routed", wait_with_many_parts)
+
+    def play_waiting(self, front: str, build: RequestBuilder) -> None:
+        """Let requests wait for their server all at once."""
 
         async def send(crowd: Crowd, count: int, build: RequestBuilder) -> None:
             async def wait(stream: trio.SocketStream) -> None:
@@ -111,7 +129,7 @@
             await trio.sleep(1.0)
 
         self.send_all = send  # type: ignore[method-assign]
-        self.play("routed", REQUESTS, wait_with_many_parts)
+        self.play(front, REQUESTS, build)
 
 
 if __name__ == "__main__":
--- a/packages/geraniumhall-net/src/geraniumhall_net/server.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/server.py
@@ -43,6 +43,8 @@
 # The pump may be in its own checkpoint, then reads once.
 PUMP_CHECKPOINTS = 3
 PACED_CHUNKS = 256  # of a body, parsed without letting other connections run
+ORDINARY_FIELDS = 16
+FIELD_BYTES = 160  # of a field's objects, beside its name and value
 UPLOAD_BYTES = 32 * 2**10  # of a body, beyond which the kernel may hold more of it
 
 
@@ -316,7 +318,7 @@
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 if head is not None:
-                    self._count_request(_measure_head(head) + len(body))
+                    self._count_request(_measure_request(head) + len(body))
                     self._enlarge_buffer(len(body))
                     scope.deadline = progress.compute_deadline(len(body))
                 await self._receive_more()
@@ -332,6 +334,8 @@
                     return HEAD_TOO_LARGE
                 if _declared_length(head) > self._limits.max_body:
                     return BODY_TOO_LARGE
+                if not await self._hold_fields(head):
+                    return MEMORY_SHORT
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.max_body:
@@ -341,7 +345,7 @@
                 if chunks % PACED_CHUNKS == 0:
                     await self._resources.pace.spend(PACED_CHUNKS)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                self._count_request(_measure_head(head) + len(body))
+                self._count_request(_measure_request(head) + len(body))
                 self.share.enter(HoldingKind.RUNNING)
                 self._request_scope = None
                 age = trio.current_time() - self._read_at
@@ -363,6 +367,14 @@
         self._http.receive_data(received.data)
         return bool(received.data)
 
+    async def _hold_fields(self, head: RequestHead) -> bool:
+        """Hold what the fields take beside their bytes; return False without room."""
+        size = _measure_request(head) - _measure_head(head)
+        if not await self.share.grow(size):
+            return False
+        self._request_size += size
+        return True
+
     def _count_request(self, size: int) -> None:
         """Count a request's parsed bytes instead of those that it was sent in.
 
@@ -502,6 +514,16 @@
     return len(head.target) + fields
 
 
+def _measure_request(head: RequestHead) -> int:
+    """Return the approximate memory of a head: its bytes and the objects of its fields.
+
+    They are held until the request has ended, in the head and for the server. The first
+    ones count with the connection.
+    """
+    fields = max(0, len(head.headers) - ORDINARY_FIELDS)
+    return _measure_head(head) + FIELD_BYTES * fields
+
+
 def _has_conflicting_framing(head: RequestHead) -> bool:
     """Return whether both framing headers are present.
 
--- a/packages/geraniumhall-wire/src/geraniumhall_wire/heads.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/heads.py
@@ -43,9 +43,9 @@
         named = self.find(b"connection") or b""
         extra = {token.strip().lower() for token in named.split(b",")}
         return tuple(
-            (name, value)
-            for name, value in self.headers
-            if name not in HOP_BY_HOP_HEADERS and name not in extra
+            header
+            for header in self.headers
+            if header[0] not in HOP_BY_HOP_HEADERS and header[0] not in extra
         )
 
 
