Describe sets of objects in a dump of the state

A dump (SIGUSR1, or the admin API) sorts the descriptions of a set's items, which are dictionaries for objects: TypeError, which ends the process. The state has such a set after a rewind of the store (era.kept). They are sorted by their text now. Both new tests failed before with that error.

--- a/packages/geraniumhall-wire/src/geraniumhall_wire/description.py
+++ b/packages/geraniumhall-wire/src/geraniumhall_wire/description.py
@@ -28,7 +28,7 @@
     if isinstance(value, list | tuple | deque):
         return [describe(item) for item in value]
     if isinstance(value, set | frozenset):
-        return sorted(describe(item) for item in value)
+        return sorted((describe(item) for item in value), key=repr)
     if isinstance(value, float) and isinf(value):
         return None
     return value
