Leave listings alone when another call to the store is lost

A listing has several pages, each with a timeout of its own. Beside a store that is slow it could be begun again and again by the calls beside it. Found by reading; the new test failed before (two listings).

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/silence.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/silence.py
@@ -51,9 +51,12 @@
 
 
 def _was_under_way(state: DaemonState, feed: Feed, event: PlatformAnswered) -> bool:
-    """Return whether another call reads a feed, since before the failed one began."""
-    purpose = event.purpose
+    """Return whether a watch of a feed has waited since before the failed call began.
+
+    A listing has several pages, each with a timeout of its own, and is left alone.
+    """
+    purpose, feed_state = event.purpose, state.feeds[feed]
     if isinstance(purpose, FollowFeed) and purpose.feed is feed:
         return False
-    is_waiting = feed not in state.relay.resting
-    return is_waiting and state.feeds[feed].requested_at <= event.called_at
+    is_watched = feed_state.revision.number > 0 and feed not in state.relay.resting
+    return is_watched and feed_state.requested_at <= event.called_at
--- a/packages/geraniumhall-core/tests/test_silence.py
+++ b/packages/geraniumhall-core/tests/test_silence.py
@@ -10,7 +10,7 @@
 from geraniumhall_core.handlers.feeds import RECONFIRM_WAIT_SECONDS
 from geraniumhall_core.platform import Changes, Feed, PlatformFailure, WatchObjects
 from geraniumhall_core.purposes import FollowFeed, PublishHost, Purpose, ScaleDomain
-from geraniumhall_core.revisions import Revision
+from geraniumhall_core.revisions import NO_REVISION, Revision
 from geraniumhall_core.state import DaemonState
 from geraniumhall_core.verdict import Verdict
 
@@ -58,6 +58,15 @@
         state = self.build()
         self.assertEqual(self.lose(state, PublishHost(1), called_at=4.9, at=5.9), [])
 
+    def test_listings_are_left(self) -> None:
+        """A listing of many pages would never end."""
+        state = self.build()
+        for feed_state in state.feeds.values():
+            feed_state.revision = NO_REVISION
+        event = attrs.evolve(build_answer(PublishHost(1), LOST), called_at=5.5, at=6.5)
+        calls = [e for e in reduce(state, event) if isinstance(e, CallPlatform)]
+        self.assertEqual([c for c in calls if isinstance(c.purpose, FollowFeed)], [])
+
     def test_lost_watch_is_repeated_once(self) -> None:
         """A feed whose own watch is lost is repeated as after any failure."""
         state = self.build()
