Close idle connections to servers when they expire

A pool closed them as the next request took a connection; without one they stayed.

They are closed by the daemon's timer now.

--- a/packages/geraniumhall-core/src/geraniumhall_core/handlers/part_records.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/handlers/part_records.py
@@ -41,7 +41,7 @@
 RESTORE_SPREAD_SECONDS = 1.0
 CLAIM_TIMEOUT_SECONDS = 1.0
 MAX_REPORTED_SUSPECTS = 128  # in one datagram
-MAX_STORED_SUSPECTS = 64  # parts of this host that aren't held and have a record
+MAX_STORED_SUSPECTS = 64  # parts that aren't held and have a record, of all hosts
 
 
 def claim_trial(
--- a/packages/geraniumhall-core/src/geraniumhall_core/parts.py
+++ b/packages/geraniumhall-core/src/geraniumhall_core/parts.py
@@ -305,11 +305,6 @@
             return None
         return PartRecord(crashes=tuple(self.crashes.values()), hold=self.hold)
 
-    def _find_replaceable(self) -> CrashId | None:
-        """Return the latest crash that doesn't follow another, if there are several."""
-        unordered = [key for key, crash in self.crashes.items() if not crash.follows]
-        return unordered[-1] if len(unordered) > 1 else None
-
     def build_report(self, host: str, part: str) -> PartReport:
         """Return what is to be told to other hosts."""
         return PartReport(
@@ -321,6 +316,11 @@
             released=self.released,
         )
 
+    def _find_replaceable(self) -> CrashId | None:
+        """Return the latest crash that doesn't follow another, if there are several."""
+        unordered = [key for key, crash in self.crashes.items() if not crash.follows]
+        return unordered[-1] if len(unordered) > 1 else None
+
 
 def list_shared_parts(request: CallerRequest) -> tuple[str, ...]:
     """Return the names of a request's parts but the last, which is its own."""
--- a/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
+++ b/packages/geraniumhall-daemon/src/geraniumhall_daemon/daemon.py
@@ -231,6 +231,7 @@
                     draws=self.draw(),
                 )
             )
+            await self.pool.close_expired()
             with trio.move_on_after(TICK_SECONDS):
                 await self.stopped.wait()
 
--- a/packages/geraniumhall-net/src/geraniumhall_net/client.py
+++ b/packages/geraniumhall-net/src/geraniumhall_net/client.py
@@ -319,7 +319,7 @@
         its oldest idle connections are closed first. Connections in use are not
         closed for it, so these may exceed the limit.
         """
-        await self._close_expired()
+        await self.close_expired()
         idle = self._idle.get(address, [])
         while reuse and idle:
             connection = idle.pop()
@@ -355,6 +355,18 @@
         """Return the number of open connections by address, idle ones included."""
         return dict(self._open)
 
+    async def close_expired(self) -> None:
+        """Close connections that idled too long, also at addresses no longer used."""
+        now = trio.current_time()
+        if now < self._next_expiry_check:
+            return
+        self._next_expiry_check = now + self.idle_timeout
+        for address, idle in list(self._idle.items()):
+            while idle and now - idle[0].idle_since > self.idle_timeout:
+                await self.discard(address, idle.pop(0))
+            if not idle:
+                self._idle.pop(address, None)
+
     async def close_idle(self, only: str = "") -> None:
         """Close all idle connections, or those to one address only."""
         for address, idle in list(self._idle.items()):
@@ -374,18 +386,6 @@
             raise ConnectFailedError(f"{address}: no connection in time")
         return ClientConnection.from_stream(stream, address, self.pace)
 
-    async def _close_expired(self) -> None:
-        """Close connections that idled too long, also at addresses no longer used."""
-        now = trio.current_time()
-        if now < self._next_expiry_check:
-            return
-        self._next_expiry_check = now + self.idle_timeout
-        for address, idle in list(self._idle.items()):
-            while idle and now - idle[0].idle_since > self.idle_timeout:
-                await self.discard(address, idle.pop(0))
-            if not idle:
-                self._idle.pop(address, None)
-
     def _count_closed(self, address: str) -> None:
         self._open[address] -= 1
         if not self._open[address]:
--- a/packages/geraniumhall-net/tests/test_client.py
+++ b/packages/geraniumhall-net/tests/test_client.py
@@ -300,6 +300,18 @@
 
         self.assertEqual(self.count_open(test), {"10.0.0.2:80": 1})
 
+    def test_expired_connections_are_closed_without_a_request(self) -> None:
+        """Guards against descriptors that are held until the next request comes."""
+
+        async def test(pool: ClientPool) -> None:
+            await fetch_response(pool, ADDRESS, REQUEST, 5.0)
+            await pool.close_expired()
+            self.assertEqual(pool.count_open(), {ADDRESS: 1})
+            await trio.sleep(2 * pool.idle_timeout)
+            await pool.close_expired()
+
+        self.assertEqual(self.count_open(test), {})
+
     def test_failed_connection_is_not_counted(self) -> None:
         """A failed connect does not count as an open connection."""
 
